feat: add the core types and the contract over the fleet

The folders, the newtypes and the contract crate: base and floor parts, seats, leases, grants that stay counted until they are settled or expire.

Found by the schedules and mended here: - A probe of a silent holder stayed due for ever when no holder was known, so a driver would have spun.

--- /dev/null
+++ b/crates/waxwing-contract/src/borrower.rs
@@ -0,0 +1,560 @@
+//! Asks the holder for tokens on behalf of this machine's requests.
+
+use std::fmt;
+use std::time;
+
+use waxwing_units::id;
+use waxwing_units::rate;
+use waxwing_units::time as units_time;
+
+use crate::message;
+use crate::options;
+
+/// How long before the end of a grant its unspent tokens are given back.
+const GIVE_BACK_BEFORE: time::Duration = time::Duration::from_millis(150);
+
+/// Names a request of this machine that waits for a token.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+impl fmt::Display for Ticket {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "ticket {}", self.0)
+    }
+}
+
+/// Why a request got no token.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum Refusal {
+    /// The organisation has used up its rate and burst.
+    Exhausted {
+        /// When a token is expected.
+        retry_after_ms: units_time::Millis,
+    },
+    /// No holder of a part could be reached.
+    Unreachable,
+}
+
+/// What became of a request for a token.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Decision {
+    /// The request may run.
+    Admitted,
+    /// The request must not run.
+    Refused(Refusal),
+}
+
+/// What [`crate::account::Account::charge`] says at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Charge {
+    /// The request is decided.
+    Decided(Decision),
+    /// The decision follows under this ticket.
+    Waiting(Ticket),
+}
+
+/// The machines that a borrower may ask.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Targets {
+    /// The holder of the base part.
+    pub base: Option<id::VmId>,
+    /// The holder of the floor part of this machine's failure domain.
+    pub floor: Option<(id::FailureDomainId, id::VmId)>,
+}
+
+/// A question to a holder.
+#[derive(Debug, Clone)]
+struct Question {
+    /// The request that needs the token; none where tokens are fetched ahead.
+    ticket: Option<Ticket>,
+    part: message::PartName,
+    to: id::VmId,
+    nonce: id::Nonce,
+    ahead: rate::Tokens,
+    asked_at: units_time::MonoInstant,
+    sent_at: units_time::MonoInstant,
+    attempts: u32,
+    give_up_at: units_time::MonoInstant,
+}
+
+/// A granted token that may be spent a little later.
+#[derive(Debug, Clone)]
+struct Delayed {
+    ticket: Ticket,
+    grant: Grant,
+    start_at: units_time::MonoInstant,
+}
+
+/// A grant that is not settled yet.
+#[derive(Debug, Clone)]
+struct Grant {
+    part: message::PartName,
+    to: id::VmId,
+    nonce: id::Nonce,
+    unspent: rate::Tokens,
+    valid_until: units_time::MonoInstant,
+}
+
+/// A question whose request has gone; a late grant for it is given back whole.
+#[derive(Debug, Clone)]
+struct Abandoned {
+    nonce: id::Nonce,
+    until: units_time::MonoInstant,
+}
+
+/// Messages and decisions that a call brought about.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    /// Messages to other machines.
+    pub outgoing: Vec<message::Outgoing>,
+    /// Requests that were decided.
+    pub decided: Vec<(Ticket, Decision)>,
+}
+
+/// A message body with its receiver, before the account adds the sender.
+pub(crate) type Send = (id::VmId, message::Body);
+
+/// What a borrower wants done.
+#[derive(Debug, Default)]
+pub(crate) struct Effects {
+    pub(crate) sends: Vec<Send>,
+    pub(crate) decided: Vec<(Ticket, Decision)>,
+}
+
+/// Counts requests to tell how many tokens to ask for ahead.
+#[derive(Debug, Clone)]
+struct Demand {
+    window_began_at: units_time::MonoInstant,
+    current: u64,
+    previous: u64,
+}
+
+impl Demand {
+    fn count(&mut self, now: units_time::MonoInstant, window: time::Duration) {
+        let age = now.since(self.window_began_at);
+        if age >= window {
+            self.previous = if age < window * 2 { self.current } else { 0 };
+            self.current = 0;
+            self.window_began_at = now;
+        }
+        self.current += 1;
+    }
+
+    fn ahead(&self) -> rate::Tokens {
+        rate::Tokens(self.previous.max(self.current.saturating_sub(1)))
+    }
+}
+
+/// Asks holders for tokens and keeps those that were granted.
+#[derive(Debug)]
+pub struct Borrower {
+    options: options::Options,
+    next_number: u64,
+    questions: Vec<Question>,
+    delayed: Vec<Delayed>,
+    stock: Vec<Grant>,
+    abandoned: Vec<Abandoned>,
+    demand: Demand,
+    silent_base: Option<units_time::MonoInstant>,
+}
+
+impl Borrower {
+    /// Creates a borrower that has asked for nothing yet.
+    pub(crate) const fn new(options: options::Options, now: units_time::MonoInstant) -> Self {
+        Self {
+            options,
+            next_number: 1,
+            questions: Vec::new(),
+            delayed: Vec::new(),
+            stock: Vec::new(),
+            abandoned: Vec::new(),
+            demand: Demand { window_began_at: now, current: 0, previous: 0 },
+            silent_base: None,
+        }
+    }
+
+    fn next_number(&mut self) -> u64 {
+        let number = self.next_number;
+        self.next_number += 1;
+        number
+    }
+
+    /// Tells whether the holder of the base part has not answered of late.
+    pub(crate) const fn base_is_silent(&self) -> bool {
+        self.silent_base.is_some()
+    }
+
+    /// Notes that the holder of the base part was heard.
+    pub(crate) const fn base_was_heard(&mut self) {
+        self.silent_base = None;
+    }
+
+    /// Wants a token for one request within `wait`.
+    pub(crate) fn request(
+        &mut self,
+        now: units_time::MonoInstant,
+        wait: time::Duration,
+        targets: &Targets,
+        is_base_here: bool,
+        effects: &mut Effects,
+    ) -> Charge {
+        self.demand.count(now, self.options.ahead);
+        if self.spend_stock(now, effects) {
+            self.ask_ahead(now, targets, is_base_here, effects);
+            return Charge::Decided(Decision::Admitted);
+        }
+        let Some((part, to)) = self.choose(targets) else {
+            return Charge::Decided(Decision::Refused(Refusal::Unreachable));
+        };
+        let ticket = Ticket(self.next_number());
+        let ahead = if is_base_here { rate::Tokens(0) } else { self.demand.ahead() };
+        let question = self.question(now, Some(ticket), part, to, ahead, now.after(wait));
+        self.send(now, question, effects);
+        Charge::Waiting(ticket)
+    }
+
+    /// Spends a token that was granted ahead, the one that expires first.
+    fn spend_stock(&mut self, now: units_time::MonoInstant, effects: &mut Effects) -> bool {
+        self.stock.retain(|grant| grant.valid_until > now);
+        let Some(grant) = self.stock.first_mut() else {
+            return false;
+        };
+        grant.unspent.0 -= 1;
+        if grant.unspent.0 == 0 {
+            let grant = self.stock.remove(0);
+            effects.sends.push(settle(&grant));
+        }
+        true
+    }
+
+    fn ask_ahead(
+        &mut self,
+        now: units_time::MonoInstant,
+        targets: &Targets,
+        is_base_here: bool,
+        effects: &mut Effects,
+    ) {
+        let wanted = self.demand.ahead();
+        let stocked: u64 = self.stock.iter().map(|grant| grant.unspent.0).sum();
+        let is_asking = self.questions.iter().any(|question| question.ticket.is_none());
+        if is_base_here || is_asking || self.base_is_silent() || stocked * 2 > wanted.0 {
+            return;
+        }
+        let Some(base) = targets.base.clone() else {
+            return;
+        };
+        let give_up_at = now.after(self.options.ask_timeout * 2);
+        let base_part = message::PartName::Base;
+        let question = self.question(now, None, base_part, base, wanted, give_up_at);
+        self.send(now, question, effects);
+    }
+
+    fn choose(&self, targets: &Targets) -> Option<(message::PartName, id::VmId)> {
+        match &targets.base {
+            Some(base) if !self.base_is_silent() => Some((message::PartName::Base, base.clone())),
+            _ => choose_floor(targets),
+        }
+    }
+
+    fn question(
+        &mut self,
+        now: units_time::MonoInstant,
+        ticket: Option<Ticket>,
+        part: message::PartName,
+        to: id::VmId,
+        ahead: rate::Tokens,
+        give_up_at: units_time::MonoInstant,
+    ) -> Question {
+        let nonce = id::Nonce(self.next_number());
+        let (asked_at, sent_at) = (now, now);
+        Question { ticket, part, to, nonce, ahead, asked_at, sent_at, attempts: 1, give_up_at }
+    }
+
+    fn send(&mut self, now: units_time::MonoInstant, question: Question, effects: &mut Effects) {
+        effects.sends.push(ask(now, &question));
+        self.questions.push(question);
+    }
+
+    /// Takes a holder's grant.
+    ///
+    /// Only the first grant for a question of this start counts. A grant for a request that has
+    /// gone is given back; any other one is a copy, and left to expire at the holder.
+    pub(crate) fn granted(
+        &mut self,
+        now: units_time::MonoInstant,
+        nonce: id::Nonce,
+        tokens: rate::Tokens,
+        start_after: time::Duration,
+        effects: &mut Effects,
+    ) {
+        let Some(at) = self.questions.iter().position(|question| question.nonce == nonce) else {
+            return;
+        };
+        let question = self.questions.swap_remove(at);
+        let valid_until = question.asked_at.after(self.options.grant_use());
+        let Question { ticket, part, to, .. } = question;
+        let grant = Grant { part, to, nonce, unspent: tokens, valid_until };
+        match ticket {
+            Some(ticket) if tokens.0 > 0 => {
+                self.start(now, ticket, grant, start_after, effects);
+            }
+            Some(ticket) => effects.decided.push((ticket, refused_exhausted())),
+            None if tokens.0 > 0 => self.stock.push(grant),
+            None => (),
+        }
+    }
+
+    fn start(
+        &mut self,
+        now: units_time::MonoInstant,
+        ticket: Ticket,
+        mut grant: Grant,
+        start_after: time::Duration,
+        effects: &mut Effects,
+    ) {
+        if !start_after.is_zero() {
+            let start_at = now.after(start_after);
+            self.delayed.push(Delayed { ticket, grant, start_at });
+            return;
+        }
+        if now >= grant.valid_until {
+            effects.decided.push((ticket, refused_exhausted()));
+            return;
+        }
+        grant.unspent.0 -= 1;
+        effects.decided.push((ticket, Decision::Admitted));
+        if grant.unspent.0 == 0 {
+            effects.sends.push(settle(&grant));
+        } else {
+            self.stock.push(grant);
+        }
+    }
+
+    /// Takes a grant for a question that was given up and returns it whole.
+    pub(crate) fn give_back_late_grant(
+        &mut self,
+        part: message::PartName,
+        from: &id::VmId,
+        nonce: id::Nonce,
+        tokens: rate::Tokens,
+        effects: &mut Effects,
+    ) {
+        if self.abandoned.iter().any(|abandoned| abandoned.nonce == nonce) {
+            let body = message::Body::Settle { part, nonce, unspent: tokens };
+            effects.sends.push((from.clone(), body));
+        }
+    }
+
+    /// Takes a holder's denial.
+    pub(crate) fn denied(
+        &mut self,
+        now: units_time::MonoInstant,
+        nonce: id::Nonce,
+        denial: message::Denial,
+        targets: &Targets,
+        effects: &mut Effects,
+    ) {
+        let Some(at) = self.questions.iter().position(|question| question.nonce == nonce) else {
+            return;
+        };
+        let question = self.questions.swap_remove(at);
+        let Some(ticket) = question.ticket else {
+            return;
+        };
+        match denial {
+            message::Denial::Exhausted { retry_after_ms } => {
+                let refusal = Refusal::Exhausted { retry_after_ms };
+                effects.decided.push((ticket, Decision::Refused(refusal)));
+            }
+            message::Denial::Starting | message::Denial::Lent | message::Denial::NotHolder => {
+                self.ask_floor(now, ticket, &question, targets, effects);
+            }
+        }
+    }
+
+    /// Turns from the base part to the floor part, or refuses.
+    fn ask_floor(
+        &mut self,
+        now: units_time::MonoInstant,
+        ticket: Ticket,
+        question: &Question,
+        targets: &Targets,
+        effects: &mut Effects,
+    ) {
+        match choose_floor(targets) {
+            Some((part, to)) if question.part == message::PartName::Base => {
+                let ahead = rate::Tokens(0);
+                let give_up_at = question.give_up_at;
+                let next = self.question(now, Some(ticket), part, to, ahead, give_up_at);
+                self.send(now, next, effects);
+            }
+            _ => {
+                effects.decided.push((ticket, Decision::Refused(Refusal::Unreachable)));
+            }
+        }
+    }
+
+    /// Starts delayed requests, repeats unanswered questions and gives unspent tokens back.
+    pub(crate) fn tick(
+        &mut self,
+        now: units_time::MonoInstant,
+        targets: &Targets,
+        effects: &mut Effects,
+    ) {
+        self.start_delayed(now, effects);
+        self.give_up(now, effects);
+        self.repeat_questions(now, targets, effects);
+        self.give_stock_back(now, effects);
+        self.probe(now, targets, effects);
+        self.abandoned.retain(|abandoned| abandoned.until > now);
+    }
+
+    fn start_delayed(&mut self, now: units_time::MonoInstant, effects: &mut Effects) {
+        let (due, later) =
+            self.delayed.drain(..).partition(|delayed: &Delayed| delayed.start_at <= now);
+        self.delayed = later;
+        let due: Vec<Delayed> = due;
+        for delayed in due {
+            self.start(now, delayed.ticket, delayed.grant, time::Duration::ZERO, effects);
+        }
+    }
+
+    fn give_up(&mut self, now: units_time::MonoInstant, effects: &mut Effects) {
+        let (over, open): (Vec<Question>, Vec<Question>) =
+            self.questions.drain(..).partition(|question| question.give_up_at <= now);
+        self.questions = open;
+        for question in over {
+            let until = question.asked_at.after(self.options.grant_hold() * 2);
+            self.abandoned.push(Abandoned { nonce: question.nonce, until });
+            if let Some(ticket) = question.ticket {
+                effects.decided.push((ticket, Decision::Refused(Refusal::Unreachable)));
+            }
+        }
+    }
+
+    fn repeat_questions(
+        &mut self,
+        now: units_time::MonoInstant,
+        targets: &Targets,
+        effects: &mut Effects,
+    ) {
+        let timeout = self.options.ask_timeout;
+        let attempts_max = self.options.ask_attempts;
+        let mut failed = Vec::new();
+        for question in &mut self.questions {
+            if now.since(question.sent_at) < timeout {
+                continue;
+            }
+            if question.attempts >= attempts_max {
+                failed.push(question.nonce);
+                continue;
+            }
+            question.attempts += 1;
+            question.sent_at = now;
+            effects.sends.push(ask(now, question));
+        }
+        for nonce in failed {
+            self.question_failed(now, nonce, targets, effects);
+        }
+    }
+
+    fn question_failed(
+        &mut self,
+        now: units_time::MonoInstant,
+        nonce: id::Nonce,
+        targets: &Targets,
+        effects: &mut Effects,
+    ) {
+        let Some(at) = self.questions.iter().position(|question| question.nonce == nonce) else {
+            return;
+        };
+        let question = self.questions.swap_remove(at);
+        let until = question.asked_at.after(self.options.grant_hold() * 2);
+        self.abandoned.push(Abandoned { nonce, until });
+        if question.part == message::PartName::Base {
+            self.silent_base = Some(now.after(self.options.probe_interval));
+        }
+        if let Some(ticket) = question.ticket {
+            self.ask_floor(now, ticket, &question, targets, effects);
+        }
+    }
+
+    fn give_stock_back(&mut self, now: units_time::MonoInstant, effects: &mut Effects) {
+        self.stock.retain(|grant| {
+            let is_kept = now.after(GIVE_BACK_BEFORE) < grant.valid_until;
+            if !is_kept {
+                effects.sends.push(settle(grant));
+            }
+            is_kept
+        });
+    }
+
+    fn probe(&mut self, now: units_time::MonoInstant, targets: &Targets, effects: &mut Effects) {
+        if self.silent_base.is_none_or(|probe_at| now < probe_at) {
+            return;
+        }
+        self.silent_base = Some(now.after(self.options.probe_interval));
+        let Some(base) = &targets.base else {
+            return;
+        };
+        let body = message::Body::Ask {
+            part: message::PartName::Base,
+            nonce: id::Nonce(0),
+            needed: rate::Tokens(0),
+            ahead: rate::Tokens(0),
+            wait_ms: units_time::Millis(0),
+        };
+        effects.sends.push((base.clone(), body));
+    }
+
+    /// Returns the next instant at which [`Self::tick`] has something to do.
+    pub(crate) fn next_wake(&self) -> Option<units_time::MonoInstant> {
+        let timeout = self.options.ask_timeout;
+        let questions = self.questions.iter().map(|q| q.sent_at.after(timeout).min(q.give_up_at));
+        let delayed = self.delayed.iter().map(|delayed| delayed.start_at);
+        let stock = self.stock.iter().map(|grant| {
+            let before_ns = GIVE_BACK_BEFORE.as_nanos() as u64;
+            units_time::MonoInstant(grant.valid_until.0.saturating_sub(before_ns))
+        });
+        questions.chain(delayed).chain(stock).chain(self.silent_base).min()
+    }
+
+    /// Refuses all requests that still wait, when the machine can't trust its state any more.
+    pub(crate) fn refuse_all(&mut self, effects: &mut Effects) {
+        let questions = self.questions.drain(..).filter_map(|question| question.ticket);
+        let delayed = self.delayed.drain(..).map(|delayed| delayed.ticket);
+        let refused = Decision::Refused(Refusal::Unreachable);
+        effects.decided.extend(questions.chain(delayed).map(|ticket| (ticket, refused)));
+        self.stock.clear();
+    }
+}
+
+fn choose_floor(targets: &Targets) -> Option<(message::PartName, id::VmId)> {
+    let (failure_domain, vm) = targets.floor.clone()?;
+    Some((message::PartName::Floor(failure_domain), vm))
+}
+
+fn refused_exhausted() -> Decision {
+    Decision::Refused(Refusal::Exhausted { retry_after_ms: units_time::Millis(0) })
+}
+
+fn ask(now: units_time::MonoInstant, question: &Question) -> Send {
+    let wait = question.give_up_at.since(now).as_millis();
+    let body = message::Body::Ask {
+        part: question.part.clone(),
+        nonce: question.nonce,
+        needed: rate::Tokens(u64::from(question.ticket.is_some())),
+        ahead: question.ahead,
+        wait_ms: units_time::Millis(u64::try_from(wait).unwrap_or(u64::MAX)),
+    };
+    (question.to.clone(), body)
+}
+
+fn settle(grant: &Grant) -> Send {
+    let body = message::Body::Settle {
+        part: grant.part.clone(),
+        nonce: grant.nonce,
+        unspent: grant.unspent,
+    };
+    (grant.to.clone(), body)
+}
--- /dev/null
+++ b/crates/waxwing-contract/src/holder.rs
@@ -0,0 +1,243 @@
+//! Grants tokens of a part that this machine holds.
+
+use std::time;
+
+use waxwing_units::id;
+use waxwing_units::rate;
+use waxwing_units::time as units_time;
+
+use crate::bucket;
+use crate::contract;
+use crate::message;
+use crate::options;
+
+/// A grant that is neither settled nor expired.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Outstanding {
+    borrower: message::Peer,
+    nonce: id::Nonce,
+    tokens: rate::Tokens,
+    start_at: units_time::MonoInstant,
+    expires_at: units_time::MonoInstant,
+}
+
+/// A floor part that counts with the base part for a while.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Lease {
+    failure_domain: id::FailureDomainId,
+    lent: contract::Part,
+    counts_until: units_time::MonoInstant,
+}
+
+/// What a borrower asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ask {
+    /// Who asks.
+    pub borrower: message::Peer,
+    /// Tells the question from others of the same borrower.
+    pub nonce: id::Nonce,
+    /// Tokens that are needed now.
+    pub needed: rate::Tokens,
+    /// Tokens that are welcome besides, if there are plenty.
+    pub ahead: rate::Tokens,
+    /// How long the borrower can wait.
+    pub wait: time::Duration,
+}
+
+/// The answer to an [`Ask`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Answer {
+    /// Tokens are granted.
+    Granted {
+        /// How many.
+        tokens: rate::Tokens,
+        /// How long the borrower waits before it spends the first one.
+        start_after: time::Duration,
+    },
+    /// Nothing is granted.
+    Denied(message::Denial),
+}
+
+/// A part that this machine holds.
+#[derive(Debug, Clone)]
+pub struct Holder {
+    options: options::Options,
+    own: contract::Part,
+    bucket: bucket::Bucket,
+    quiet_until: units_time::MonoInstant,
+    outstanding: Vec<Outstanding>,
+    leases: Vec<Lease>,
+}
+
+impl Holder {
+    /// Creates the holder of `own`, with an empty bucket.
+    ///
+    /// It grants nothing before `quiet_until`, when all grants of its predecessor have expired.
+    pub const fn new(
+        options: options::Options,
+        own: contract::Part,
+        quiet_until: units_time::MonoInstant,
+    ) -> Self {
+        Self {
+            options,
+            own,
+            bucket: bucket::Bucket::empty(quiet_until),
+            quiet_until,
+            outstanding: Vec::new(),
+            leases: Vec::new(),
+        }
+    }
+
+    /// Replaces the held part after a change of the contract.
+    pub fn set_part(&mut self, now: units_time::MonoInstant, own: contract::Part) {
+        self.advance(now);
+        self.own = own;
+        self.advance(now);
+    }
+
+    /// Lowers leases to what the contract now allows each failure domain.
+    pub fn limit_leases(
+        &mut self,
+        now: units_time::MonoInstant,
+        allowed: impl Fn(&id::FailureDomainId) -> contract::Part,
+    ) {
+        self.advance(now);
+        for lease in &mut self.leases {
+            lease.lent = lease.lent.smaller(allowed(&lease.failure_domain));
+        }
+        self.advance(now);
+    }
+
+    /// Adds or renews the lease of a floor part that was asked for at `asked_at`.
+    pub fn add_lease(
+        &mut self,
+        now: units_time::MonoInstant,
+        failure_domain: &id::FailureDomainId,
+        lent: contract::Part,
+        asked_at: units_time::MonoInstant,
+    ) {
+        self.advance(now);
+        let counts_until = asked_at.after(self.options.lease_use());
+        if counts_until <= now {
+            return;
+        }
+        let lease = Lease { failure_domain: failure_domain.clone(), lent, counts_until };
+        match self.leases.binary_search_by(|l| l.failure_domain.cmp(failure_domain)) {
+            Ok(at) => self.leases[at] = lease,
+            Err(at) => self.leases.insert(at, lease),
+        }
+    }
+
+    /// Returns the held part with all leases that count at the last call.
+    pub fn part(&self) -> contract::Part {
+        self.leases.iter().fold(self.own, |sum, lease| sum.plus(lease.lent))
+    }
+
+    /// Returns the level of the bucket at the last call.
+    pub const fn level(&self) -> rate::NanoTokens {
+        self.bucket.level()
+    }
+
+    /// Tells whether any grant is neither settled nor expired.
+    pub fn has_outstanding(&self) -> bool {
+        !self.outstanding.is_empty()
+    }
+
+    /// Brings leases, level and grants up to `now`.
+    ///
+    /// The order is the cautious one: what lapsed since the last call did not refill, and what
+    /// expired since then still took up room.
+    pub fn advance(&mut self, now: units_time::MonoInstant) {
+        self.leases.retain(|lease| lease.counts_until > now);
+        let part = self.part();
+        let room = part.burst_tokens.minus(self.outstanding_tokens().nano());
+        self.bucket.refill(now, part.rate_per_second, room);
+        self.outstanding.retain(|grant| grant.expires_at > now);
+    }
+
+    fn outstanding_tokens(&self) -> rate::Tokens {
+        rate::Tokens(self.outstanding.iter().map(|grant| grant.tokens.0).sum())
+    }
+
+    /// Answers a question for tokens.
+    ///
+    /// A question that was answered before gets the same answer and takes no second token.
+    pub fn ask(&mut self, now: units_time::MonoInstant, ask: &Ask) -> Answer {
+        self.advance(now);
+        if now < self.quiet_until {
+            return Answer::Denied(message::Denial::Starting);
+        }
+        if ask.needed.0 == 0 && ask.ahead.0 == 0 {
+            return Answer::Granted { tokens: rate::Tokens(0), start_after: time::Duration::ZERO };
+        }
+        match self.find(&ask.borrower, ask.nonce) {
+            Some(grant) => {
+                Answer::Granted { tokens: grant.tokens, start_after: grant.start_at.since(now) }
+            }
+            None => self.grant(now, ask),
+        }
+    }
+
+    fn find(&self, borrower: &message::Peer, nonce: id::Nonce) -> Option<&Outstanding> {
+        self.outstanding.iter().find(|grant| grant.nonce == nonce && grant.borrower == *borrower)
+    }
+
+    fn grant(&mut self, now: units_time::MonoInstant, ask: &Ask) -> Answer {
+        let part = self.part();
+        let left = self.bucket.level().minus(ask.needed.nano());
+        let owed = rate::NanoTokens::ZERO.minus(left);
+        let start_after = units_time::until_surely_passed(part.rate_per_second.span_of(owed));
+        let outstanding = self.outstanding_tokens().nano().plus(ask.needed.nano());
+        let promised_in_time = owed.0 <= 0 || start_after <= ask.wait.min(self.options.debt_max);
+        if outstanding > part.burst_tokens || !promised_in_time {
+            return Answer::Denied(self.exhausted(start_after));
+        }
+        let start_after = if owed.0 <= 0 { time::Duration::ZERO } else { start_after };
+        let tokens = rate::Tokens(ask.needed.0 + self.spare_ahead(left, part, ask.ahead).0);
+        if tokens.0 == 0 {
+            return Answer::Denied(self.exhausted(time::Duration::ZERO));
+        }
+        self.bucket.take(tokens.nano());
+        self.outstanding.push(Outstanding {
+            borrower: ask.borrower.clone(),
+            nonce: ask.nonce,
+            tokens,
+            start_at: now.after(start_after),
+            expires_at: now.after(self.options.grant_hold()),
+        });
+        Answer::Granted { tokens, start_after }
+    }
+
+    /// Returns the part of `ahead` that leaves the bucket at least half full.
+    fn spare_ahead(
+        &self,
+        left: rate::NanoTokens,
+        part: contract::Part,
+        ahead: rate::Tokens,
+    ) -> rate::Tokens {
+        let half = rate::NanoTokens(part.burst_tokens.0 / 2);
+        left.minus(half).whole().min(ahead)
+    }
+
+    fn exhausted(&self, start_after: time::Duration) -> message::Denial {
+        let millis = u64::try_from(start_after.as_millis()).unwrap_or(u64::MAX);
+        message::Denial::Exhausted { retry_after_ms: units_time::Millis(millis) }
+    }
+
+    /// Ends a grant whose tokens are spent, but for `unspent` ones that come back.
+    pub fn settle(
+        &mut self,
+        now: units_time::MonoInstant,
+        borrower: &message::Peer,
+        nonce: id::Nonce,
+        unspent: rate::Tokens,
+    ) {
+        self.advance(now);
+        let is_it = |grant: &Outstanding| grant.nonce == nonce && grant.borrower == *borrower;
+        let Some(at) = self.outstanding.iter().position(is_it) else {
+            return;
+        };
+        let grant = self.outstanding.swap_remove(at);
+        self.bucket.put_back(grant.tokens.min(unspent).nano());
+    }
+}
--- /dev/null
+++ b/crates/waxwing-measure/src/contract.rs
@@ -0,0 +1,1 @@
+//! Measurements of the contract over the fake fleet.
--- /dev/null
+++ b/crates/waxwing-measure/src/main.rs
@@ -0,0 +1,3 @@
+//! Runs the measurements.
+
+fn main() {}
--- /dev/null
+++ b/crates/waxwing-units/src/id.rs
@@ -0,0 +1,168 @@
+//! Names of the objects of the world.
+
+use std::fmt;
+use std::str;
+use std::sync;
+
+use serde_with::{DeserializeFromStr, SerializeDisplay};
+
+/// Longest accepted name, in bytes.
+pub const NAME_MAX_BYTES: usize = 63;
+
+/// The result of reading a name.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Tells why a text is not a name.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// The text is empty.
+    #[error("a name must not be empty")]
+    Empty,
+    /// The text is longer than [`NAME_MAX_BYTES`].
+    #[error("a name has at most {NAME_MAX_BYTES} bytes, this one has {len_bytes}")]
+    TooLong {
+        /// Length of the text, in bytes.
+        len_bytes: usize,
+    },
+    /// The text holds a character that names may not hold.
+    #[error(
+        "a name is made of a-z, 0-9 and '-', and starts with a letter or digit; found {found:?}"
+    )]
+    Character {
+        /// The first character that is not allowed.
+        found: char,
+    },
+}
+
+fn check_name(text: &str) -> Result<()> {
+    let Some(first) = text.chars().next() else {
+        return Err(Error::Empty);
+    };
+    if text.len() > NAME_MAX_BYTES {
+        return Err(Error::TooLong { len_bytes: text.len() });
+    }
+    if first == '-' {
+        return Err(Error::Character { found: first });
+    }
+    let allowed = |c: &char| c.is_ascii_lowercase() || c.is_ascii_digit() || *c == '-';
+    match text.chars().find(|c| !allowed(c)) {
+        Some(found) => Err(Error::Character { found }),
+        None => Ok(()),
+    }
+}
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr)]
+        pub struct $name(sync::Arc<str>);
+
+        impl $name {
+            /// Returns the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}({})", stringify!($name), self.0)
+            }
+        }
+
+        impl str::FromStr for $name {
+            type Err = Error;
+
+            fn from_str(text: &str) -> Result<Self> {
+                check_name(text)?;
+                Ok(Self(text.into()))
+            }
+        }
+    };
+}
+
+name_type!(
+    /// Names an entry VM; the platform never gives the same name to two machines.
+    VmId
+);
+name_type!(
+    /// Names a failure domain.
+    FailureDomainId
+);
+name_type!(
+    /// Names a region.
+    RegionId
+);
+name_type!(
+    /// Names an organisation.
+    OrganisationId
+);
+name_type!(
+    /// Names a service.
+    ServiceId
+);
+name_type!(
+    /// Names a backend server.
+    BackendServerId
+);
+name_type!(
+    /// Names a record within its kind.
+    RecordName
+);
+name_type!(
+    /// Names one request from the caller to the backend server and back.
+    RequestId
+);
+name_type!(
+    /// Names a process in the time line.
+    ProcessName
+);
+
+macro_rules! number_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash,
+            serde::Serialize, serde::Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl str::FromStr for $name {
+            type Err = std::num::ParseIntError;
+
+            fn from_str(text: &str) -> std::result::Result<Self, Self::Err> {
+                text.parse().map(Self)
+            }
+        }
+    };
+}
+
+number_type!(
+    /// Tells one start of a process from the next on the same machine.
+    Incarnation
+);
+number_type!(
+    /// Counts the changes of the platform's store.
+    Revision
+);
+number_type!(
+    /// Tells one message of a process from the next, so that a copy is recognised.
+    Nonce
+);
+number_type!(
+    /// Names an operator's change, so that a lost answer can be looked up later.
+    OperationId
+);
--- /dev/null
+++ b/crates/waxwing-units/src/time.rs
@@ -0,0 +1,112 @@
+//! Instants of a machine's own clock and spans in milliseconds.
+
+use std::fmt;
+use std::str;
+use std::time;
+
+/// Largest rate by which a machine's clock differs from true time, in millionths.
+pub const CLOCK_DRIFT_MAX_PPM: u64 = 200;
+
+/// An instant of a machine's own monotonic clock, in nanoseconds.
+///
+/// The clock runs on while the machine is suspended. Instants of two machines, or of two
+/// starts of one machine, can't be compared.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(transparent)]
+pub struct MonoInstant(pub u64);
+
+impl MonoInstant {
+    /// Returns the instant `span` after this one.
+    pub fn after(self, span: time::Duration) -> Self {
+        Self(self.0.saturating_add(u64::try_from(span.as_nanos()).unwrap_or(u64::MAX)))
+    }
+
+    /// Returns the span since `earlier`, zero where `earlier` is the later one.
+    pub const fn since(self, earlier: Self) -> time::Duration {
+        time::Duration::from_nanos(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl fmt::Display for MonoInstant {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:.6}s", self.0 as f64 / 1e9)
+    }
+}
+
+/// Returns the part of `span` that has surely passed when a drifting clock shows `span`.
+pub fn surely_passed(span: time::Duration) -> time::Duration {
+    let drift = span.as_nanos() * u128::from(CLOCK_DRIFT_MAX_PPM) / 1_000_000 + 1;
+    let drift_ns = u64::try_from(drift).unwrap_or(u64::MAX);
+    span.saturating_sub(time::Duration::from_nanos(drift_ns))
+}
+
+/// Returns the span that a drifting clock must show before `span` has surely passed.
+pub fn until_surely_passed(span: time::Duration) -> time::Duration {
+    let drift = span.as_nanos() * u128::from(2 * CLOCK_DRIFT_MAX_PPM) / 1_000_000 + 1;
+    span.saturating_add(time::Duration::from_nanos(u64::try_from(drift).unwrap_or(u64::MAX)))
+}
+
+/// The result of reading a span.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Tells why a text is not a span.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{text:?} is not a span; write a number and ms or s, such as 250ms")]
+pub struct Error {
+    /// The text that was read.
+    pub text: String,
+}
+
+/// A span in milliseconds.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(transparent)]
+pub struct Millis(pub u64);
+
+impl Millis {
+    /// Returns the span as the standard library's type.
+    pub const fn duration(self) -> time::Duration {
+        time::Duration::from_millis(self.0)
+    }
+}
+
+impl fmt::Display for Millis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}ms", self.0)
+    }
+}
+
+impl str::FromStr for Millis {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let bad = || Error { text: text.to_owned() };
+        if let Some(number) = text.strip_suffix("ms") {
+            return number.parse().map(Self).map_err(|_| bad());
+        }
+        let number = text.strip_suffix('s').ok_or_else(bad)?;
+        let seconds: u64 = number.parse().map_err(|_| bad())?;
+        seconds.checked_mul(1_000).map(Self).ok_or_else(bad)
+    }
+}
