--- a/crates/waxwing-measure/src/fleet.rs
+++ b/crates/waxwing-measure/src/fleet.rs
@@ -73,13 +73,13 @@
     pub loss: f64,
     /// Probability that a message arrives twice.
     pub duplication: f64,
-    /// Pairs of machines that can't reach each other.
+    /// Pairs of sender and receiver between which nothing arrives.
     pub cuts: Vec<(usize, usize)>,
 }
 
 impl Network {
     fn is_cut(&self, from: usize, to: usize) -> bool {
-        self.cuts.contains(&(from, to)) || self.cuts.contains(&(to, from))
+        self.cuts.contains(&(from, to))
     }
 }
 
--- a/crates/waxwing-measure/tests/contract_bound.rs
+++ b/crates/waxwing-measure/tests/contract_bound.rs
@@ -33,8 +33,18 @@
     format!("domain-{index}").parse().expect("a valid name")
 }
 
+/// What a schedule is made of mostly.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Profile {
+    /// A little of everything.
+    Mixed,
+    /// Heavy demand on floor parts that are lent, cut off and taken back, under one contract.
+    Floors,
+}
+
 /// A schedule under way: the fleet, and what is true of the world around it.
 struct Schedule {
+    profile: Profile,
     rng: rngs::SmallRng,
     fleet: fleet::Fleet,
     tables: Vec<seat::SeatTable>,
@@ -53,10 +63,11 @@
         let mut rng = rngs::SmallRng::seed_from_u64(seed);
         let vms = rng.random_range(2..=7);
         let domains = rng.random_range(1..=vms);
-        let contract = first_contract(&mut rng, domains);
+        let profile = if seed.is_multiple_of(2) { Profile::Mixed } else { Profile::Floors };
+        let contract = first_contract(&mut rng, domains, profile);
         let network = fleet::Network {
             delay_ms: (0..vms).map(|_| delays(&mut rng, vms)).collect(),
-            jitter_ms: *[0.0, 5.0, 300.0].choose(&mut rng).expect("not empty"),
+            jitter_ms: *[0.0, 5.0, 300.0, 1_500.0].choose(&mut rng).expect("not empty"),
             loss: *[0.0, 0.02, 0.3].choose(&mut rng).expect("not empty"),
             duplication: *[0.0, 0.2].choose(&mut rng).expect("not empty"),
             cuts: Vec::new(),
@@ -76,6 +87,7 @@
         let tables = (0..domains).map(|at| first_table(&fleet, at)).collect();
         let reference = reference::Reference::full(contract.whole);
         let mut schedule = Self {
+            profile,
             rng,
             fleet,
             tables,
@@ -123,6 +135,27 @@
     }
 
     fn step(&mut self) {
+        match self.profile {
+            Profile::Mixed => self.step_mixed(),
+            Profile::Floors => self.step_floors(),
+        }
+    }
+
+    fn step_floors(&mut self) {
+        let index = self.any_vm();
+        match self.rng.random_range(0..100) {
+            0..=3 => self.cut(index),
+            4..=5 => self.fleet.network.cuts.clear(),
+            6..=7 => self.restart(index),
+            8 => self.freeze(index),
+            9 if self.fleet.runs(index) => self.give_up(index),
+            10..=15 if self.fleet.runs(index) => self.take_over(index),
+            16..=20 if self.fleet.runs(index) => self.show_seats(index),
+            _ => self.request_some(index),
+        }
+    }
+
+    fn step_mixed(&mut self) {
         let index = self.any_vm();
         match self.rng.random_range(0..100) {
             0..=69 => self.request_some(index),
@@ -130,7 +163,7 @@
             75..=76 => self.change_contract(),
             77..=80 if self.fleet.runs(index) => self.show_seats(index),
             81..=82 => self.freeze(index),
-            83..=84 if !self.fleet.vms[index].is_dead => self.restart(index),
+            83..=84 => self.restart(index),
             85 => self.kill(index),
             86..=89 => self.cut(index),
             90..=92 => self.fleet.network.cuts.clear(),
@@ -144,7 +177,8 @@
         if !self.fleet.runs(index) {
             return;
         }
-        for _ in 0..*[1, 1, 3, 20].choose(&mut self.rng).expect("some") {
+        let most = if self.profile == Profile::Floors { 60 } else { 20 };
+        for _ in 0..*[1, 1, 3, most].choose(&mut self.rng).expect("some") {
             let wait_ms = self.rng.random_range(0..=400);
             self.requests += 1;
             self.fleet.request(index, self.requests, time::Duration::from_millis(wait_ms));
@@ -196,6 +230,9 @@
 
     /// Starts a machine's process anew; it reads some contract that was in force.
     fn restart(&mut self, index: usize) {
+        if self.fleet.vms[index].is_dead {
+            return;
+        }
         let newest = self.contracts.len() - 1;
         let contract = self.rng.random_range(self.in_force[index]..=newest);
         self.put_in_force(index, contract);
@@ -214,8 +251,17 @@
     }
 
     fn cut(&mut self, index: usize) {
-        let other = self.any_vm();
-        self.fleet.network.cuts.push((index, other));
+        for other in 0..self.fleet.vms.len() {
+            if self.rng.random_bool(0.6) {
+                self.fleet.network.cuts.push((index, other));
+            }
+            if self.rng.random_bool(0.6) {
+                self.fleet.network.cuts.push((other, index));
+            }
+        }
+        if self.rng.random_bool(0.3) {
+            self.fleet.network.cuts.truncate(1);
+        }
     }
 
     fn give_up(&mut self, index: usize) {
@@ -297,10 +343,16 @@
     }
 }
 
-fn first_contract(rng: &mut rngs::SmallRng, domains: usize) -> contract::Contract {
+fn first_contract(
+    rng: &mut rngs::SmallRng,
+    domains: usize,
+    profile: Profile,
+) -> contract::Contract {
     let failure_domains: Vec<id::FailureDomainId> = (1..domains).map(domain).collect();
-    let floor_permille = 500 / domains as u64;
-    let spread = match rng.random_bool(0.7) && domains > 1 {
+    let share_permille = if profile == Profile::Floors { 900 } else { 500 };
+    let floor_permille = share_permille / domains as u64;
+    let is_spread = profile == Profile::Floors || rng.random_bool(0.7);
+    let spread = match is_spread && domains > 1 {
         true => contract::Spread::Floors { failure_domains, floor_permille },
         false => contract::Spread::Whole,
     };
--- /dev/null
+++ b/crates/waxwing-protocol/src/local.rs
@@ -0,0 +1,67 @@
+//! Frames between the keeper and the other processes of its machine, over TCP.
+
+use serde::{Deserialize, Serialize};
+use waxwing_contract::borrower;
+use waxwing_machine::fleet;
+use waxwing_record::snapshot;
+use waxwing_timeline::event;
+use waxwing_timeline::stamp;
+use waxwing_units::id;
+use waxwing_units::time as units_time;
+
+/// What a process says to the keeper.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ToKeeper {
+    /// The process is there.
+    Hello {
+        /// The kind of the process.
+        role: event::Role,
+    },
+    /// A request of an organisation wants to run.
+    Charge {
+        /// Tells this question from others on the connection.
+        nonce: id::Nonce,
+        /// The organisation.
+        organisation: id::OrganisationId,
+        /// How long the request can wait.
+        wait_ms: units_time::Millis,
+        /// The clock of the process.
+        stamp: stamp::Stamp,
+    },
+    /// What the entry process has to do.
+    Load {
+        /// Requests under way.
+        in_flight: u32,
+        /// Free slots at backend servers.
+        free_slots: u32,
+    },
+}
+
+/// Why a charge was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ChargeRefusal {
+    /// The contract refuses.
+    Contract(borrower::Refusal),
+    /// The organisation is not known here.
+    UnknownOrganisation,
+}
+
+/// What the keeper says to a process.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FromKeeper {
+    /// The records in force.
+    Records(Box<snapshot::Snapshot>),
+    /// The entry VMs that can be reached, this one among them unless it is leaving.
+    Fleet(Vec<fleet::Reachable>),
+    /// The answer to a charge.
+    Charged {
+        /// The question.
+        nonce: id::Nonce,
+        /// Whether the request may run.
+        decision: Result<(), ChargeRefusal>,
+        /// The keeper's clock.
+        stamp: stamp::Stamp,
+    },
+    /// The machine leaves: finish what is under way and take nothing new.
+    Leave,
+}
--- /dev/null
+++ b/crates/waxwing-protocol/src/peer.rs
@@ -0,0 +1,100 @@
+//! Datagrams between keepers, over UDP.
+
+use serde::{Deserialize, Serialize};
+use waxwing_contract::message;
+use waxwing_machine::entry_vm;
+use waxwing_timeline::stamp;
+use waxwing_units::id;
+
+/// The version of the datagrams.
+pub const VERSION: u8 = 1;
+
+/// Largest datagram that is sent, in bytes.
+pub const DATAGRAM_MAX_BYTES: usize = 1_400;
+
+/// The result of reading or writing a datagram.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Tells why a datagram can't be read or written.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// The datagram has no content.
+    #[error("the datagram is empty")]
+    Empty,
+    /// The datagram is of another version.
+    #[error("the datagram is of version {version}, this release reads {VERSION}")]
+    Version {
+        /// The version that was found.
+        version: u8,
+    },
+    /// The content can't be decoded, or has surplus bytes.
+    #[error("the datagram can't be decoded: {0}")]
+    Decode(postcard::Error),
+    /// The content can't be encoded.
+    #[error("the datagram can't be encoded: {0}")]
+    Encode(postcard::Error),
+}
+
+/// What a machine tells the others about itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The machine.
+    pub entry_vm: entry_vm::EntryVm,
+    /// The revision of the records in force on it.
+    pub revision: id::Revision,
+    /// Requests that are under way on it.
+    pub in_flight: u32,
+    /// Slots that are free on it.
+    pub free_slots: u32,
+}
+
+/// The content of a datagram.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Body {
+    /// A heartbeat.
+    Heartbeat(Heartbeat),
+    /// A message about an organisation's contract.
+    Contract(message::Message),
+}
+
+/// A datagram.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Datagram {
+    /// The sender.
+    pub from: message::Peer,
+    /// The sender's clock.
+    pub stamp: stamp::Stamp,
+    /// The content.
+    pub body: Body,
+}
+
+/// Writes a datagram into `buffer` and returns the bytes to send.
+///
+/// # Errors
+///
+/// Returns an error where the datagram does not fit.
+pub fn encode<'a>(datagram: &Datagram, buffer: &'a mut [u8]) -> Result<&'a [u8]> {
+    let Some((version, rest)) = buffer.split_first_mut() else {
+        return Err(Error::Empty);
+    };
+    *version = VERSION;
+    let used = postcard::to_slice(datagram, rest).map_err(Error::Encode)?.len();
+    Ok(&buffer[..=used])
+}
+
+/// Reads a datagram.
+///
+/// # Errors
+///
+/// Returns an error where the bytes are not a whole datagram of this version.
+pub fn decode(bytes: &[u8]) -> Result<Datagram> {
+    let (version, content) = bytes.split_first().ok_or(Error::Empty)?;
+    if *version != VERSION {
+        return Err(Error::Version { version: *version });
+    }
+    let (datagram, surplus) = postcard::take_from_bytes(content).map_err(Error::Decode)?;
+    if !surplus.is_empty() {
+        return Err(Error::Decode(postcard::Error::DeserializeBadEncoding));
+    }
+    Ok(datagram)
+}
