--- a/crates/waxwing-contract/src/account.rs
+++ b/crates/waxwing-contract/src/account.rs
@@ -325,7 +325,7 @@
         nonce: id::Nonce,
         out: &mut borrower::Outbox,
     ) {
-        let lent = self.floor_mut(&failure_domain).and_then(|floor| floor.lend(now, from));
+        let lent = self.floor_mut(&failure_domain).and_then(|floor| floor.lend(now));
         if let Some(lent) = lent {
             let body = message::Body::LeaseGrant { failure_domain, nonce, lent };
             self.send(&from.vm, Some(from.incarnation), body, out);
--- a/crates/waxwing-contract/src/accounts.rs
+++ b/crates/waxwing-contract/src/accounts.rs
@@ -33,6 +33,8 @@
     pub outgoing: Vec<message::Outgoing>,
     /// Requests that were decided.
     pub decided: Vec<(Pending, borrower::Decision)>,
+    /// The shards in which something is due next, and when.
+    pub wakes: Vec<(usize, units_time::MonoInstant)>,
 }
 
 /// What [`Accounts::charge`] says at once.
@@ -178,15 +180,20 @@
         out: &mut Outbox,
         act: impl FnOnce(&mut account::Account, &mut borrower::Outbox) -> T,
     ) -> Option<T> {
-        let mut shard = self.shards[Self::shard_of(organisation)].lock();
+        let index = Self::shard_of(organisation);
+        let mut shard = self.shards[index].lock();
         let at = shard.binary_search_by(|a| a.organisation().cmp(organisation)).ok()?;
         let mut one = borrower::Outbox::default();
         let result = act(&mut shard[at], &mut one);
+        out.wakes.extend(shard[at].next_wake().map(|wake| (index, wake)));
         out.take(organisation, one);
         Some(result)
     }
 
     /// Does what is due in one shard and returns when something is due there next.
+    ///
+    /// Each shard is ticked every second at least: a machine that does not is taken for one that
+    /// stood still.
     pub fn tick(
         &self,
         now: units_time::MonoInstant,
--- a/crates/waxwing-contract/src/floor.rs
+++ b/crates/waxwing-contract/src/floor.rs
@@ -16,9 +16,9 @@
     /// This machine, for its own failure domain.
     ///
     /// While the part is about to be lent, nothing new is granted before `closing_until`.
-    Own { holder: holder::Holder, closing_until: units_time::MonoInstant },
+    Own { holder: Box<holder::Holder>, closing_until: units_time::MonoInstant },
     /// The holder of the base part.
-    Lent { to: message::Peer, until: units_time::MonoInstant },
+    Lent { until: units_time::MonoInstant },
 }
 
 /// The floor part of this machine's failure domain.
@@ -63,11 +63,11 @@
     /// Takes the part back where a lease has ended.
     pub fn advance(&mut self, now: units_time::MonoInstant) {
         let ended_at = match &self.state {
-            State::Quiet { until } | State::Lent { until, .. } => *until,
+            State::Quiet { until } | State::Lent { until } => *until,
             State::Own { .. } => return,
         };
         if now >= ended_at {
-            let holder = holder::Holder::new(self.options, self.part, ended_at);
+            let holder = Box::new(holder::Holder::new(self.options, self.part, ended_at));
             self.state = State::Own { holder, closing_until: ended_at };
         }
     }
@@ -100,17 +100,13 @@
 
     /// Lends the part to the holder of the base part, or renews the lease.
     ///
-    /// Nothing is lent while another start of the holder may still count an older lease, or
-    /// while grants of this part are outstanding.
-    pub fn lend(
-        &mut self,
-        now: units_time::MonoInstant,
-        to: &message::Peer,
-    ) -> Option<contract::Part> {
+    /// Nothing is lent while grants of this part are outstanding. An older lease does not
+    /// matter: only the one holder of the base part's seat asks, and a holder that lost the seat
+    /// has stopped to count its leases before.
+    pub fn lend(&mut self, now: units_time::MonoInstant) -> Option<contract::Part> {
         self.advance(now);
         match &mut self.state {
             State::Quiet { .. } => return None,
-            State::Lent { to: holder, .. } if holder != to => return None,
             State::Lent { .. } => (),
             State::Own { holder, closing_until } => {
                 holder.advance(now);
@@ -121,7 +117,7 @@
             }
         }
         let until = now.after(self.options.lease_hold());
-        self.state = State::Lent { to: to.clone(), until };
+        self.state = State::Lent { until };
         Some(self.part)
     }
 }
--- /dev/null
+++ b/crates/waxwing-keeper/src/peers.rs
@@ -0,0 +1,63 @@
+//! Receives datagrams of other keepers.
+
+use waxwing_contract::accounts;
+use waxwing_process::clock;
+use waxwing_protocol::peer;
+use waxwing_timeline::event;
+
+use crate::keeper;
+
+/// Bytes of the receive buffer; a longer datagram is cut and can't be decoded.
+const BUFFER_LEN_BYTES: usize = 2 * peer::DATAGRAM_MAX_BYTES;
+
+/// Receives datagrams; returns only where the socket fails for good.
+pub fn run(keeper: &keeper::Keeper) {
+    let mut buffer = [0; BUFFER_LEN_BYTES];
+    loop {
+        match keeper.socket().recv_from(&mut buffer) {
+            Ok((len_bytes, _)) => receive(keeper, &buffer[..len_bytes]),
+            Err(error) => log::debug!("a datagram could not be received: {error}"),
+        }
+    }
+}
+
+fn receive(keeper: &keeper::Keeper, bytes: &[u8]) {
+    let datagram = match peer::decode(bytes) {
+        Ok(datagram) => datagram,
+        Err(error) => {
+            log::debug!("a datagram was dropped: {error}");
+            keeper.count_malformed();
+            return;
+        }
+    };
+    keeper.reporter.observe(datagram.stamp);
+    match datagram.body {
+        peer::Body::Heartbeat(heartbeat) => hear(keeper, heartbeat, &datagram.from),
+        peer::Body::Contract(message) => {
+            let mut out = accounts::Outbox::default();
+            keeper.accounts.receive(clock::now(), message, &mut out);
+            keeper.dispatch(out);
+        }
+    }
+}
+
+fn hear(
+    keeper: &keeper::Keeper,
+    heartbeat: peer::Heartbeat,
+    from: &waxwing_contract::message::Peer,
+) {
+    if heartbeat.entry_vm.vm != from.vm || from.vm == keeper.me.vm {
+        return;
+    }
+    let (vm, incarnation) = (from.vm.clone(), from.incarnation);
+    let phase_before = keeper.fleet.lock().member(&vm).map(|member| member.entry_vm.phase);
+    let phase = heartbeat.entry_vm.phase;
+    let is_new = keeper.fleet.lock().hear(clock::now(), heartbeat.entry_vm, incarnation);
+    if is_new {
+        keeper.reporter.report(event::What::PeerHeard { vm });
+    }
+    if is_new || phase_before != Some(phase) {
+        keeper.publish_fleet();
+    }
+    keeper.heard_revisions.note(from, heartbeat.revision);
+}
--- /dev/null
+++ b/crates/waxwing-process/src/logs.rs
@@ -0,0 +1,12 @@
+//! The log of the process, as JSON lines.
+
+/// Begins to write the log to standard error; `RUST_LOG` sets the level, `info` by default.
+///
+/// A second call changes nothing.
+pub fn begin() {
+    let started =
+        logforth::starter_log::stderr().layout(logforth::layout::JsonLayout::default()).try_apply();
+    if started.is_err() {
+        log::debug!("the log was begun already");
+    }
+}
--- /dev/null
+++ b/crates/waxwing-request/src/attempt.rs
@@ -0,0 +1,146 @@
+//! The states of an attempt and what a fault in each of them means.
+
+use std::fmt;
+
+use crate::outcome;
+
+/// How far an attempt has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum State {
+    /// The request waits for a slot; no backend server is chosen.
+    Waiting,
+    /// A connection to the backend server is being opened.
+    Connecting,
+    /// The connection is open; bytes of the request may have reached the backend server.
+    Sending,
+    /// All of the request was sent.
+    Sent,
+    /// The head of an answer has come; its body may follow.
+    Answering,
+}
+
+/// All states, in order.
+pub const STATES: [State; 5] =
+    [State::Waiting, State::Connecting, State::Sending, State::Sent, State::Answering];
+
+/// What ended an attempt before a whole answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Fault {
+    /// No slot came free in time.
+    NoSlot,
+    /// The backend server refused or did not accept the connection.
+    ConnectFailed,
+    /// The connection was closed or reset.
+    Disconnected,
+    /// The deadline passed.
+    DeadlinePassed,
+    /// The caller has gone.
+    CallerGone,
+    /// The caller's upload broke off.
+    UploadBroken,
+    /// The backend server said that it did not run the request.
+    DeclaredNotRun,
+    /// The answer can't be understood.
+    AnswerMalformed,
+}
+
+/// All faults.
+pub const FAULTS: [Fault; 8] = [
+    Fault::NoSlot,
+    Fault::ConnectFailed,
+    Fault::Disconnected,
+    Fault::DeadlinePassed,
+    Fault::CallerGone,
+    Fault::UploadBroken,
+    Fault::DeclaredNotRun,
+    Fault::AnswerMalformed,
+];
+
+/// Whether a request may run more than once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Repeatability {
+    /// The request is idempotent.
+    Idempotent,
+    /// The request runs at most once.
+    AtMostOnce,
+}
+
+/// Whether the request's body can be sent again from its start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Body {
+    /// The body is kept, or there is none.
+    Kept,
+    /// Part of the body may have been read from the caller and passed on.
+    Streamed,
+}
+
+/// What is done after a fault.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Verdict {
+    /// The request may be attempted again, if the retry budget and the deadline allow it.
+    TryAgain {
+        /// What the caller is told if it is not attempted again.
+        otherwise: outcome::Outcome,
+    },
+    /// The caller is told.
+    Tell(outcome::Outcome),
+    /// The answer has begun: the caller's connection is broken, so that a part of the answer
+    /// can't pass for all of it.
+    BreakAnswer,
+}
+
+/// Tells whether a backend server may have run the request.
+///
+/// It can't have where no connection was open, or where the server itself says that it did not.
+pub fn may_have_run(state: State, fault: Fault) -> bool {
+    match fault {
+        Fault::DeclaredNotRun | Fault::NoSlot => false,
+        _ => state >= State::Sending,
+    }
+}
+
+/// Judges a fault in an attempt.
+pub fn judge(state: State, fault: Fault, repeatability: Repeatability, body: Body) -> Verdict {
+    if state == State::Answering && fault != Fault::DeclaredNotRun {
+        return Verdict::BreakAnswer;
+    }
+    let may_have_run = may_have_run(state, fault);
+    let otherwise = if may_have_run { outcome::Outcome::Unknown } else { outcome::Outcome::NotRun };
+    let is_final = matches!(
+        fault,
+        Fault::NoSlot | Fault::DeadlinePassed | Fault::CallerGone | Fault::UploadBroken
+    );
+    let may_run_again = !may_have_run || repeatability == Repeatability::Idempotent;
+    let can_be_sent = body == Body::Kept || state < State::Sending;
+    match !is_final && may_run_again && can_be_sent {
+        true => Verdict::TryAgain { otherwise },
+        false => Verdict::Tell(otherwise),
+    }
+}
+
+impl fmt::Display for State {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            Self::Waiting => "waiting",
+            Self::Connecting => "connecting",
+            Self::Sending => "sending",
+            Self::Sent => "sent",
+            Self::Answering => "answering",
+        })
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            Self::NoSlot => "no slot in time",
+            Self::ConnectFailed => "connection refused",
+            Self::Disconnected => "connection closed",
+            Self::DeadlinePassed => "deadline passed",
+            Self::CallerGone => "caller gone",
+            Self::UploadBroken => "upload broken",
+            Self::DeclaredNotRun => "declared not run",
+            Self::AnswerMalformed => "answer malformed",
+        })
+    }
+}
--- /dev/null
+++ b/crates/waxwing-stand-ins/src/lib.rs
@@ -0,0 +1,10 @@
+//! Small stand-ins for the platform and for backend servers.
+//!
+//! They are no part of the product: they take the place of the users' own services in tests and
+//! in the demonstration, and can fail on command.
+//!
+//! * [`platform`]: the key-value store and the list of entry VMs.
+//! * [`backend`]: a backend server.
+
+pub mod backend;
+pub mod platform;
