feat: carry requests from look-up to backend server and back

The whole path as separate processes: records written by the operator's command, watched by keepers, look-ups, keyed requests, an upload, a withdrawn key, and one time line over all processes.

Found by the first golden file and mended: an event's machine and the machine that it is about had the same field name, so the keepers' events could not be read back.

--- /dev/null
+++ b/crates/waxwing-cli/src/fleet.rs
@@ -0,0 +1,73 @@
+//! Asks all machines for their state and their events.
+
+use std::net;
+
+use futures_util::future;
+use ntex::client;
+use ntex::time as ntex_time;
+use serde::de;
+use waxwing_keeper::keeper;
+use waxwing_timeline::event;
+use waxwing_timeline::stamp;
+
+/// How long a process may take to answer, in milliseconds.
+const TIMEOUT_MS: u32 = 1_500;
+
+/// Largest answer, in bytes.
+const ANSWER_MAX_BYTES: usize = 64 * 1024 * 1024;
+
+/// A process that did not answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Silent {
+    /// Its admin address.
+    pub address: net::SocketAddr,
+    /// What went wrong.
+    pub why: String,
+}
+
+async fn get<T: de::DeserializeOwned>(
+    client: &client::Client,
+    address: net::SocketAddr,
+    path: &str,
+) -> Result<T, Silent> {
+    let silent = |why: String| Silent { address, why };
+    let request = client.get(format!("http://{address}{path}"));
+    let request = request.timeout(ntex_time::Millis(TIMEOUT_MS));
+    let response = request.send().await.map_err(|error| silent(error.to_string()))?;
+    let body = response.body().limit(ANSWER_MAX_BYTES).await;
+    let body = body.map_err(|error| silent(error.to_string()))?;
+    serde_json::from_slice(&body).map_err(|error| silent(error.to_string()))
+}
+
+/// Asks all processes for their events after `after`.
+pub async fn events(
+    addresses: &[net::SocketAddr],
+    after: stamp::Stamp,
+) -> (Vec<Vec<event::Event>>, Vec<Silent>) {
+    let client = client::Client::new().await;
+    let path = format!("/events?after={after}");
+    let calls = addresses.iter().map(|address| get(&client, *address, &path));
+    part(future::join_all(calls).await)
+}
+
+/// Asks all processes for their state; those that are no keepers are passed over.
+pub async fn status(addresses: &[net::SocketAddr]) -> (Vec<keeper::Status>, Vec<Silent>) {
+    let client = client::Client::new().await;
+    let calls =
+        addresses.iter().map(|address| get::<serde_json::Value>(&client, *address, "/status"));
+    let (values, silent) = part(future::join_all(calls).await);
+    let keepers = values.into_iter().filter_map(|value| serde_json::from_value(value).ok());
+    (keepers.collect(), silent)
+}
+
+fn part<T>(answers: Vec<Result<T, Silent>>) -> (Vec<T>, Vec<Silent>) {
+    let mut found = Vec::new();
+    let mut silent = Vec::new();
+    for answer in answers {
+        match answer {
+            Ok(value) => found.push(value),
+            Err(error) => silent.push(error),
+        }
+    }
+    (found, silent)
+}
--- /dev/null
+++ b/crates/waxwing-cli/src/show.rs
@@ -0,0 +1,106 @@
+//! Tables for people.
+
+use waxwing_keeper::keeper;
+use waxwing_record::document;
+
+use crate::commit;
+use crate::plan;
+
+/// Returns a table with aligned columns.
+pub fn table(head: &[&str], rows: &[Vec<String>]) -> String {
+    let widths: Vec<usize> = (0..head.len())
+        .map(|column| {
+            let cells = rows.iter().filter_map(|row| row.get(column)).map(String::len);
+            cells.chain([head[column].len()]).max().unwrap_or(0)
+        })
+        .collect();
+    let mut text = String::new();
+    let head: Vec<String> = head.iter().map(ToString::to_string).collect();
+    for row in std::iter::once(&head).chain(rows) {
+        let cells = row.iter().zip(&widths).map(|(cell, width)| format!("{cell:width$}"));
+        let line: Vec<String> = cells.collect();
+        text.push_str(line.join("  ").trim_end());
+        text.push('\n');
+    }
+    text
+}
+
+/// Shows what a plan would change.
+pub fn plan(changes: &[plan::Change]) -> String {
+    let mut text = String::new();
+    for change in changes {
+        match (&change.value, &change.difference) {
+            (None, _) => text.push_str(&format!("- {}\n", change.id)),
+            (_, document::Difference::Added(id)) => text.push_str(&format!("+ {id}\n")),
+            (_, document::Difference::Same(id)) => text.push_str(&format!("= {id}\n")),
+            (_, document::Difference::Changed(id, fields)) => {
+                text.push_str(&format!("~ {id}\n"));
+                for field in fields {
+                    let document::FieldChange { field, old, new } = field;
+                    text.push_str(&format!("    {field}: {old} -> {new}\n"));
+                }
+            }
+        }
+    }
+    text
+}
+
+/// Shows what became of changes.
+pub fn outcomes(outcomes: &[commit::Outcome]) -> String {
+    let row = |outcome: &commit::Outcome| {
+        let result = match &outcome.result {
+            commit::Result::Same => "as wanted already".to_owned(),
+            commit::Result::Accepted { revision } => format!("accepted at revision {revision}"),
+            commit::Result::Conflict { expected, current } => format!(
+                "conflict: changed by another operator (revision {expected} expected, {current} \
+                 found); look at it with `waxwing get` and apply again"
+            ),
+            commit::Result::NotWritten { why } => format!("not written: {why}"),
+            commit::Result::Unknown { why } => format!("unknown: {why}"),
+        };
+        vec![outcome.record.to_string(), result]
+    };
+    table(&["RECORD", "RESULT"], &outcomes.iter().map(row).collect::<Vec<_>>())
+}
+
+/// Shows stored records.
+pub fn records(records: &[&plan::StoredRecord]) -> String {
+    let row = |record: &&plan::StoredRecord| {
+        vec![record.id.to_string(), record.revision.to_string(), fields(&record.value)]
+    };
+    table(&["RECORD", "REVISION", "FIELDS"], &records.iter().map(row).collect::<Vec<_>>())
+}
+
+fn fields(value: &serde_json::Value) -> String {
+    let Some(fields) = value.as_object() else {
+        return value.to_string();
+    };
+    let shown = fields.iter().filter(|(name, _)| !matches!(name.as_str(), "kind" | "name"));
+    let shown: Vec<String> = shown.map(|(name, value)| format!("{name}={value}")).collect();
+    shown.join(" ")
+}
+
+/// Shows the state of all machines.
+pub fn status(machines: &[keeper::Status]) -> String {
+    let row = |status: &keeper::Status| {
+        let seats: Vec<String> =
+            status.seats.iter().map(|at| format!("{}:{}", at.failure_domain, at.seats)).collect();
+        let fenced = status.accounts.iter().filter(|account| account.is_fenced).count();
+        vec![
+            status.entry_vm.vm.to_string(),
+            status.entry_vm.failure_domain.to_string(),
+            format!("{:?}", status.entry_vm.phase).to_lowercase(),
+            status.revision.to_string(),
+            if status.store_answers { "answers" } else { "lost" }.to_owned(),
+            status.reachable.len().to_string(),
+            if seats.is_empty() { "-".to_owned() } else { seats.join(" ") },
+            status.accounts.iter().filter(|account| account.base.is_some()).count().to_string(),
+            fenced.to_string(),
+            status.drained.len().to_string(),
+        ]
+    };
+    let head = [
+        "VM", "DOMAIN", "PHASE", "REVISION", "STORE", "PEERS", "SEATS", "HOLDS", "FENCED", "DRAINS",
+    ];
+    table(&head, &machines.iter().map(row).collect::<Vec<_>>())
+}
--- /dev/null
+++ b/crates/waxwing-entry/src/carry.rs
@@ -0,0 +1,485 @@
+//! From the caller's request to the answer.
+
+use std::sync::atomic;
+use std::time;
+
+use futures_util::StreamExt;
+use ntex::client;
+use ntex::http;
+use ntex::http::body;
+use ntex::http::header;
+use ntex::time as ntex_time;
+use ntex::util as ntex_util;
+use ntex::web;
+use rand::Rng;
+use waxwing_machine::backend_server;
+use waxwing_process::clock;
+use waxwing_record::record;
+use waxwing_request::attempt;
+use waxwing_request::outcome;
+use waxwing_timeline::event;
+use waxwing_timeline::journal;
+use waxwing_units::digest;
+use waxwing_units::id;
+use waxwing_units::time as units_time;
+
+use crate::answer;
+use crate::entry;
+use crate::headers;
+use crate::pools;
+use crate::refusal;
+use crate::upload;
+use crate::upstream;
+
+/// Bodies up to this size are read before they are sent, so that they can be sent again.
+const KEPT_BODY_MAX_BYTES: u64 = 64 * 1024;
+
+/// How much longer than the token's wait the keeper may take to answer.
+const KEEPER_MARGIN: time::Duration = time::Duration::from_millis(200);
+
+/// The result of a part of the way.
+type Result<T> = std::result::Result<T, refusal::Refusal>;
+
+/// What is known of a request on its way.
+struct Journey {
+    request: id::RequestId,
+    service: record::Service,
+    organisation: Option<id::OrganisationId>,
+    key: Option<Vec<u8>>,
+    deadline: units_time::MonoInstant,
+    repeatability: attempt::Repeatability,
+    began_at: units_time::MonoInstant,
+}
+
+impl Journey {
+    fn about(&self) -> journal::About {
+        journal::About {
+            request: Some(self.request.clone()),
+            organisation: self.organisation.clone(),
+        }
+    }
+
+    fn left(&self) -> time::Duration {
+        self.deadline.since(clock::now())
+    }
+}
+
+/// Carries one request.
+pub async fn carry(
+    request: web::HttpRequest,
+    payload: web::types::Payload,
+    entry: web::types::State<entry::Shared>,
+) -> web::HttpResponse {
+    let began_at = clock::now();
+    let name = headers::request_id(request.headers()).unwrap_or_else(new_request_id);
+    report_received(&entry, &request, &name);
+    let mut organisation = None;
+    let carried = match prepare(&entry, &request, &name, began_at, &mut organisation).await {
+        Ok(journey) => run(&entry, &request, payload, &journey).await,
+        Err(refusal) => Err(refusal),
+    };
+    let response = carried.unwrap_or_else(|refusal| {
+        let about = journal::About { request: Some(name.clone()), organisation };
+        report_ended(&entry, about, refusal.outcome(), refusal.status().as_u16(), began_at);
+        refusal.response(&name)
+    });
+    close_if_stopping(&entry, response)
+}
+
+/// Asks the caller to open its next connection elsewhere where the process ends.
+fn close_if_stopping(entry: &entry::Entry, mut response: web::HttpResponse) -> web::HttpResponse {
+    if entry.is_stopping.load(atomic::Ordering::Acquire) {
+        response.head_mut().set_connection_type(http::ConnectionType::Close);
+    }
+    response
+}
+
+fn new_request_id() -> id::RequestId {
+    let text = format!("r-{:016x}", rand::rng().random::<u64>());
+    text.parse().unwrap_or_else(|_| unreachable!("sixteen hexadecimal digits are a valid name"))
+}
+
+fn report_received(entry: &entry::Entry, request: &web::HttpRequest, name: &id::RequestId) {
+    let about = journal::About { request: Some(name.clone()), organisation: None };
+    let method = request.method().to_string();
+    let service = service_name(request.path());
+    let is_known = entry.keeper.view().records.service(service).is_some();
+    let service = if is_known { service.to_owned() } else { "(unknown)".to_owned() };
+    entry.reporter.report_about(about, event::What::RequestReceived { method, service });
+}
+
+fn report_ended(
+    entry: &entry::Entry,
+    about: journal::About,
+    outcome: outcome::Outcome,
+    status: u16,
+    began_at: units_time::MonoInstant,
+) {
+    let outcome = outcome.to_string();
+    let duration_ms = clock::now().since(began_at).as_secs_f64() * 1e3;
+    entry.counters.count_request(&outcome, status, duration_ms);
+    entry.reporter.report_about(about, event::What::RequestEnded { outcome, status });
+}
+
+/// Returns the first part of a path.
+fn service_name(path: &str) -> &str {
+    path.trim_start_matches('/').split('/').next().unwrap_or_default()
+}
+
+/// Checks the request, charges its organisation, and tells what it needs on its way.
+async fn prepare(
+    entry: &entry::Entry,
+    request: &web::HttpRequest,
+    name: &id::RequestId,
+    began_at: units_time::MonoInstant,
+    organisation: &mut Option<id::OrganisationId>,
+) -> Result<Journey> {
+    let records = entry.keeper.view().records;
+    if records.revision == id::Revision(0) {
+        return Err(refusal::Refusal::NoRecords);
+    }
+    let service = records.service(service_name(request.path())).cloned();
+    let service = service.ok_or(refusal::Refusal::UnknownService)?;
+    let key = request.headers().get(headers::KEY).map(|key| key.as_bytes().to_vec());
+    check_path(request, key.as_deref())?;
+    check_len(request, &service)?;
+    let timeout = timeout(request, &service)?;
+    let journey = Journey {
+        request: name.clone(),
+        organisation: owner(entry, &service, key.as_deref())?,
+        service,
+        key,
+        deadline: began_at.after(timeout),
+        repeatability: repeatability(request),
+        began_at,
+    };
+    organisation.clone_from(&journey.organisation);
+    charge(entry, &journey).await?;
+    Ok(journey)
+}
+
+/// Refuses a key in the path or query, where a backend server would see it.
+fn check_path(request: &web::HttpRequest, key: Option<&[u8]>) -> Result<()> {
+    let path = request.uri().to_string();
+    match key.is_some_and(|key| headers::holds(path.as_bytes(), key)) {
+        true => Err(refusal::Refusal::KeyInPath),
+        false => Ok(()),
+    }
+}
+
+fn content_length(request: &web::HttpRequest) -> Option<u64> {
+    headers::text(request.headers(), header::CONTENT_LENGTH.as_str())?.parse().ok()
+}
+
+fn check_len(request: &web::HttpRequest, service: &record::Service) -> Result<()> {
+    let max = service.body_max_bytes;
+    match content_length(request).is_some_and(|len_bytes| len_bytes > max.0) {
+        true => Err(refusal::Refusal::BodyTooLarge { max }),
+        false => Ok(()),
+    }
+}
+
+/// Returns how long the request may take: as long as the caller waits, but not longer than the
+/// service allows.
+fn timeout(request: &web::HttpRequest, service: &record::Service) -> Result<time::Duration> {
+    let most = service.deadline_ms;
+    let Some(value) = request.headers().get(headers::TIMEOUT_MS) else {
+        return Ok(most.duration());
+    };
+    let wanted = value.to_str().ok().and_then(|text| text.parse::<u64>().ok());
+    match wanted {
+        Some(wanted_ms) if wanted_ms > 0 => Ok(most.min(units_time::Millis(wanted_ms)).duration()),
+        _ => Err(refusal::Refusal::BadTimeout),
+    }
+}
+
+fn repeatability(request: &web::HttpRequest) -> attempt::Repeatability {
+    let is_safe =
+        matches!(*request.method(), http::Method::GET | http::Method::HEAD | http::Method::OPTIONS);
+    let is_declared = headers::text(request.headers(), headers::IDEMPOTENT) == Some("true");
+    match is_safe || is_declared {
+        true => attempt::Repeatability::Idempotent,
+        false => attempt::Repeatability::AtMostOnce,
+    }
+}
+
+/// Returns the organisation whose key came with the request; none on routes open to all.
+fn owner(
+    entry: &entry::Entry,
+    service: &record::Service,
+    key: Option<&[u8]>,
+) -> Result<Option<id::OrganisationId>> {
+    if service.access == record::Access::Open {
+        return Ok(None);
+    }
+    let key = key.ok_or(refusal::Refusal::MissingKey)?;
+    let digest = digest::KeyDigest::of(key);
+    let records = entry.keeper.view().records;
+    let organisation = records.organisation_of(&digest).cloned();
+    organisation.map(Some).ok_or(refusal::Refusal::UnknownKey)
+}
+
+async fn charge(entry: &entry::Entry, journey: &Journey) -> Result<()> {
+    let Some(organisation) = journey.organisation.clone() else {
+        return Ok(());
+    };
+    let wait = journey.left().min(entry.settings.charge_wait.duration());
+    let wait_ms = units_time::Millis(u64::try_from(wait.as_millis()).unwrap_or(u64::MAX));
+    let charging = entry.keeper.charge(organisation, journey.request.clone(), wait_ms);
+    match ntex_time::timeout(wait + KEEPER_MARGIN, charging).await {
+        Ok(charged) => charged?,
+        Err(()) => return Err(refusal::Refusal::ContractUnreachable),
+    }
+    // The key may have been withdrawn while the request waited.
+    let owner = owner(entry, &journey.service, journey.key.as_deref())?;
+    if owner != journey.organisation {
+        return Err(refusal::Refusal::UnknownKey);
+    }
+    entry.reporter.report_about(journey.about(), event::What::Charged);
+    Ok(())
+}
+
+/// A request's body, before it is known which attempt sends it.
+enum Source {
+    Kept(ntex_util::Bytes),
+    Streamed(Option<http::Payload>),
+}
+
+/// Attempts the request until it is answered or must not be attempted again.
+async fn run(
+    entry: &entry::Entry,
+    request: &web::HttpRequest,
+    payload: web::types::Payload,
+    journey: &Journey,
+) -> Result<web::HttpResponse> {
+    let mut source = take_body(request, payload, journey).await?;
+    let mut tried = Vec::new();
+    entry.pools.earn_retry(&journey.service.service);
+    loop {
+        let slot = wait_for_slot(entry, journey, &tried).await?;
+        tried.push(slot.server().backend_server.clone());
+        let failure = match attempt_once(entry, request, journey, &mut source, slot).await {
+            Ok(response) => return Ok(response),
+            Err(failure) => failure,
+        };
+        let attempts = u32::try_from(tried.len()).unwrap_or(u32::MAX);
+        judge(entry, journey, &source, failure, attempts)?;
+    }
+}
+
+/// Reads a short body, so that it can be sent again; a long one is streamed.
+async fn take_body(
+    request: &web::HttpRequest,
+    payload: web::types::Payload,
+    journey: &Journey,
+) -> Result<Source> {
+    let payload = payload.into_inner();
+    let has_body = request.headers().contains_key(header::TRANSFER_ENCODING);
+    match content_length(request) {
+        None if !has_body => Ok(Source::Kept(ntex_util::Bytes::new())),
+        Some(len_bytes) if len_bytes <= KEPT_BODY_MAX_BYTES => {
+            let reading = read_all(payload, len_bytes);
+            let read = ntex_time::timeout(journey.left(), reading).await;
+            let outcome = outcome::Outcome::NotRun;
+            read.unwrap_or(Err(refusal::Refusal::UploadBroken { outcome })).map(Source::Kept)
+        }
+        _ => Ok(Source::Streamed(Some(payload))),
+    }
+}
+
+async fn read_all(mut payload: http::Payload, len_bytes: u64) -> Result<ntex_util::Bytes> {
+    let broken = refusal::Refusal::UploadBroken { outcome: outcome::Outcome::NotRun };
+    let mut body = ntex_util::BytesMut::with_capacity(usize::try_from(len_bytes).unwrap_or(0));
+    while let Some(chunk) = payload.next().await {
+        body.extend_from_slice(&chunk.map_err(|_| broken.clone())?);
+    }
+    match body.len() as u64 == len_bytes {
+        true => Ok(body.freeze()),
+        false => Err(broken),
+    }
+}
+
+async fn wait_for_slot(
+    entry: &entry::Entry,
+    journey: &Journey,
+    tried: &[id::BackendServerId],
+) -> Result<pools::Slot> {
+    let service = &journey.service.service;
+    let flow = &journey.organisation;
+    let no_slot = refusal::Refusal::Failed {
+        state: attempt::State::Waiting,
+        fault: attempt::Fault::NoSlot,
+        outcome: outcome::Outcome::NotRun,
+    };
+    match entry.pools.acquire(service, flow, journey.deadline, tried) {
+        pools::Acquired::Slot(slot) => Ok(slot),
+        pools::Acquired::QueueFull => Err(refusal::Refusal::QueueFull),
+        pools::Acquired::Waits(receiver) => {
+            match ntex_time::timeout(journey.left(), receiver).await {
+                Ok(Ok(lease)) => Ok(entry.pools.slot(service, lease)),
+                Ok(Err(_)) | Err(()) => Err(no_slot),
+            }
+        }
+    }
+}
+
+/// Tells whether the request is attempted again; an error is what the caller is told.
+fn judge(
+    entry: &entry::Entry,
+    journey: &Journey,
+    source: &Source,
+    failure: upstream::Failure,
+    attempts: u32,
+) -> Result<()> {
+    let kept = match source {
+        Source::Kept(_) => attempt::Body::Kept,
+        Source::Streamed(_) => attempt::Body::Streamed,
+    };
+    let upstream::Failure { state, fault, broken } = failure;
+    let outcome = match attempt::judge(state, fault, journey.repeatability, kept) {
+        attempt::Verdict::TryAgain { otherwise } => {
+            let has_time = !journey.left().is_zero();
+            if has_time && entry.pools.spend_retry(&journey.service.service, attempts) {
+                return Ok(());
+            }
+            otherwise
+        }
+        attempt::Verdict::Tell(outcome) => outcome,
+        attempt::Verdict::BreakAnswer => outcome::Outcome::Unknown,
+    };
+    Err(match broken {
+        Some(upload::Broken::TooLarge) if outcome == outcome::Outcome::NotRun => {
+            refusal::Refusal::BodyTooLarge { max: journey.service.body_max_bytes }
+        }
+        Some(_) => refusal::Refusal::UploadBroken { outcome },
+        None => refusal::Refusal::Failed { state, fault, outcome },
+    })
+}
+
+async fn attempt_once(
+    entry: &entry::Entry,
+    request: &web::HttpRequest,
+    journey: &Journey,
+    source: &mut Source,
+    mut slot: pools::Slot,
+) -> std::result::Result<web::HttpResponse, upstream::Failure> {
+    let server = slot.server().clone();
+    let backend_server = server.backend_server.clone();
+    entry.counters.count_attempt(journey.service.service.as_str());
+    let started = event::What::AttemptStarted { backend_server: backend_server.clone() };
+    entry.reporter.report_about(journey.about(), started);
+    let sending = outgoing(request, journey, source);
+    match upstream::send(server.address, sending, journey.left()).await {
+        Ok(response) => {
+            slot.set_ending(backend_server::Ending::Answered);
+            Ok(answer(entry, journey, &response, slot))
+        }
+        Err(failure) => {
+            slot.set_ending(ending_of(failure.fault));
+            let ending = format!("{} while {}", failure.fault, failure.state);
+            let ended = event::What::AttemptEnded { backend_server, ending };
+            entry.reporter.report_about(journey.about(), ended);
+            Err(failure)
+        }
+    }
+}
+
+/// Returns what a fault says about the backend server.
+const fn ending_of(fault: attempt::Fault) -> backend_server::Ending {
+    match fault {
+        attempt::Fault::ConnectFailed
+        | attempt::Fault::Disconnected
+        | attempt::Fault::DeadlinePassed
+        | attempt::Fault::AnswerMalformed => backend_server::Ending::Failed,
+        attempt::Fault::DeclaredNotRun
+        | attempt::Fault::NoSlot
+        | attempt::Fault::CallerGone
+        | attempt::Fault::UploadBroken => backend_server::Ending::Shed,
+    }
+}
+
+fn outgoing(
+    request: &web::HttpRequest,
+    journey: &Journey,
+    source: &mut Source,
+) -> upstream::Request {
+    let mut passed = headers::passed_on(request.headers(), journey.key.as_deref());
+    let mut add = |name: &'static str, value: String| {
+        if let Ok(value) = header::HeaderValue::from_str(&value) {
+            passed.push((header::HeaderName::from_static(name), value));
+        }
+    };
+    add(headers::REQUEST, journey.request.to_string());
+    add(headers::DEADLINE_MS, journey.left().as_millis().to_string());
+    if let Some(organisation) = &journey.organisation {
+        add(headers::ORGANISATION, organisation.to_string());
+    }
+    let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
+    upstream::Request {
+        method: request.method().clone(),
+        path: path.to_owned(),
+        headers: passed,
+        body: outgoing_body(request, journey, source),
+    }
+}
+
+fn outgoing_body(
+    request: &web::HttpRequest,
+    journey: &Journey,
+    source: &mut Source,
+) -> upstream::Body {
+    match source {
+        Source::Kept(bytes) => upstream::Body::Kept(bytes.clone()),
+        Source::Streamed(payload) => {
+            let payload = payload.take().unwrap_or(http::Payload::None);
+            let broken = upload::BrokenCell::default();
+            let max_bytes = journey.service.body_max_bytes.0;
+            let len_bytes = content_length(request);
+            let upload = upload::Upload::new(payload, len_bytes, max_bytes, broken.clone());
+            upstream::Body::Streamed(upload, broken)
+        }
+    }
+}
+
+/// Passes an answer on; the slot is free when its body has ended.
+fn answer(
+    entry: &entry::Entry,
+    journey: &Journey,
+    response: &client::ClientResponse,
+    slot: pools::Slot,
+) -> web::HttpResponse {
+    let status = response.status();
+    report_ended(
+        entry,
+        journey.about(),
+        outcome::Outcome::Answered,
+        status.as_u16(),
+        journey.began_at,
+    );
+    let mut builder = web::HttpResponse::build(status);
+    for (name, value) in headers::answered(response.headers()) {
+        builder.header(name, value);
+    }
+    builder.header(headers::OUTCOME, outcome::Outcome::Answered.to_string());
+    builder.header(headers::REQUEST, journey.request.as_str());
+    let on_end = report_attempt(entry, journey, slot);
+    let len_bytes = headers::text(response.headers(), header::CONTENT_LENGTH.as_str());
+    let len_bytes = len_bytes.and_then(|text| text.parse().ok());
+    let body = answer::Answer::new(response.take_payload(), len_bytes, on_end);
+    builder.message_body(body::Body::from_message(body))
+}
+
+/// Returns what is done when the answer's body has ended.
+fn report_attempt(entry: &entry::Entry, journey: &Journey, slot: pools::Slot) -> answer::OnEnd {
+    let reporter = entry.reporter.clone();
+    let about = journey.about();
+    let backend_server = slot.server().backend_server.clone();
+    Box::new(move |is_whole| {
+        let mut slot = slot;
+        if !is_whole {
+            slot.set_ending(backend_server::Ending::Failed);
+        }
+        let ending = if is_whole { "whole answer" } else { "answer broke off" }.to_owned();
+        reporter.report_about(about, event::What::AttemptEnded { backend_server, ending });
+    })
+}
--- /dev/null
+++ b/crates/waxwing-entry/src/main.rs
@@ -0,0 +1,132 @@
+//! Runs the entry process.
+
+use std::process;
+use std::sync;
+use std::sync::atomic;
+
+use clap::Parser;
+use eyre::OptionExt;
+use eyre::WrapErr;
+use ntex::http;
+use ntex::time as ntex_time;
+use ntex::web;
+use waxwing_entry::carry;
+use waxwing_entry::entry;
+use waxwing_entry::pools;
+use waxwing_entry::probe;
+use waxwing_entry::settings;
+use waxwing_keeper_client::client;
+use waxwing_process::admin;
+use waxwing_process::arguments;
+use waxwing_process::logs;
+use waxwing_process::metrics;
+use waxwing_process::reporter;
+use waxwing_process::signal;
+use waxwing_timeline::event;
+
+/// Milliseconds per second.
+const MS_PER_S: u64 = 1_000;
+
+fn main() {
+    let arguments = arguments::Arguments::parse();
+    let settings = waxwing_process::settings::load::<settings::Settings>(&arguments.settings);
+    let settings = settings.unwrap_or_else(|error| {
+        eprintln!("{error}");
+        process::exit(arguments::EXIT_SETTINGS);
+    });
+    if arguments.check {
+        println!("{}: the settings are right", arguments.settings.display());
+        return;
+    }
+    logs::begin();
+    if let Err(error) = run(settings) {
+        eprintln!("waxwing-entry: {error:#}");
+        process::exit(arguments::EXIT_FAILED);
+    }
+}
+
+#[ntex::main]
+async fn run(settings: settings::Settings) -> eyre::Result<()> {
+    let metrics = metrics::Metrics::new()?;
+    let entry = share(&settings, &metrics)?;
+    entry.reporter.report(event::What::Started);
+    ntex::rt::spawn(probe::run(entry.clone()));
+    ntex::rt::spawn(probe::hand_out(entry.clone()));
+    let is_ready = sync::Arc::new(atomic::AtomicBool::new(true));
+    serve_admin(&entry, metrics, is_ready.clone())?;
+    let server = serve(&entry)?;
+    signal::order_to_end()?.await?;
+    is_ready.store(false, atomic::Ordering::Release);
+    stop(&entry, &server).await;
+    Ok(())
+}
+
+fn share(settings: &settings::Settings, metrics: &metrics::Metrics) -> eyre::Result<entry::Shared> {
+    let vm = settings.vm.clone().ok_or_eyre("vm is missing")?;
+    let failure_domain = settings.failure_domain.clone().ok_or_eyre("failure_domain is missing")?;
+    let keeper_address = settings.keeper_address.ok_or_eyre("keeper_address is missing")?;
+    let reporter = reporter::Reporter::new(vm.clone(), event::Role::Entry);
+    let pools = sync::Arc::new(pools::Pools::new(vm, failure_domain));
+    let updated = pools.clone();
+    let on_change: client::OnChange = Box::new(move |view| updated.update(view));
+    let role = event::Role::Entry;
+    let keeper = client::Client::start(keeper_address, role, reporter.clone(), on_change)?;
+    Ok(sync::Arc::new(entry::Entry {
+        settings: settings.clone(),
+        keeper,
+        pools,
+        reporter,
+        is_stopping: atomic::AtomicBool::new(false),
+        counters: entry::Counters::new(metrics),
+    }))
+}
+
+fn serve_admin(
+    entry: &entry::Shared,
+    metrics: metrics::Metrics,
+    is_ready: sync::Arc<atomic::AtomicBool>,
+) -> eyre::Result<()> {
+    let address = entry.settings.admin_address.ok_or_eyre("admin_address is missing")?;
+    let shown = entry.clone();
+    let status = sync::Arc::new(move || {
+        let (in_flight, free_slots) = shown.pools.load();
+        serde_json::json!({ "in_flight": in_flight, "free_slots": free_slots }).to_string()
+    });
+    let reporter = entry.reporter.clone();
+    let admin = admin::Admin { is_ready, reporter, metrics, status };
+    let server = admin::serve(address, admin)
+        .wrap_err_with(|| format!("admin_address {address} can't be bound"))?;
+    ntex::rt::spawn(async move {
+        if let Err(error) = server.await {
+            log::error!("the admin endpoint ended: {error}");
+        }
+    });
+    Ok(())
+}
+
+fn serve(entry: &entry::Shared) -> eyre::Result<ntex::server::Server> {
+    let address = entry.settings.listen_address.ok_or_eyre("listen_address is missing")?;
+    let shared = entry.clone();
+    let finish_s = entry.settings.finish_max.0.div_ceil(MS_PER_S);
+    let finish_s = u16::try_from(finish_s).unwrap_or(u16::MAX);
+    let server = web::HttpServer::new(async move || {
+        web::App::new().state(shared.clone()).default_service(web::route().to(carry::carry))
+    });
+    let http = http::HttpServiceConfig::new().set_client_timeout(ntex_time::Seconds(10));
+    let server = server
+        .workers(entry.settings.workers)
+        .disable_signals()
+        .shutdown_timeout(ntex_time::Seconds(finish_s))
+        .config(ntex::SharedCfg::new("entry").add(http))
+        .bind(address)
+        .wrap_err_with(|| format!("listen_address {address} can't be bound"))?;
+    Ok(server.run())
+}
+
+/// Goes on for as long as callers may still know this machine, then finishes what it has.
+async fn stop(entry: &entry::Shared, server: &ntex::server::Server) {
+    entry.reporter.report(event::What::Stopping);
+    entry.is_stopping.store(true, atomic::Ordering::Release);
+    ntex_time::sleep(entry.settings.linger.duration()).await;
+    server.stop(true).await;
+}
--- a/crates/waxwing-keeper-client/src/client.rs
+++ b/crates/waxwing-keeper-client/src/client.rs
@@ -122,13 +122,14 @@
     pub async fn charge(
         &self,
         organisation: id::OrganisationId,
+        request: id::RequestId,
         wait_ms: units_time::Millis,
     ) -> Result<()> {
         let nonce = id::Nonce(self.next_nonce.fetch_add(1, atomic::Ordering::Relaxed));
         let (answer, answered) = oneshot::channel();
         self.shard(nonce).lock().push((nonce, answer));
         let stamp = self.reporter.stamp();
-        let charge = local::ToKeeper::Charge { nonce, organisation, wait_ms, stamp };
+        let charge = local::ToKeeper::Charge { nonce, organisation, request, wait_ms, stamp };
         if !self.send(&charge) {
             self.take(nonce);
             return Err(Error::KeeperAway);
--- a/crates/waxwing-keeper/src/charges.rs
+++ b/crates/waxwing-keeper/src/charges.rs
@@ -13,12 +13,16 @@
 pub struct ConnectionId(pub u64);
 
 /// Who asked for a token.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Asker {
     /// The connection.
     pub connection: ConnectionId,
     /// The question on that connection.
     pub nonce: id::Nonce,
+    /// The organisation that is charged.
+    pub organisation: id::OrganisationId,
+    /// The request.
+    pub request: id::RequestId,
 }
 
 /// What is known of a waiting request.
@@ -51,7 +55,7 @@
     }
 
     /// Notes who waits for `pending`; returns the decision if it has come already.
-    pub fn wait(&self, pending: &accounts::Pending, asker: Asker) -> Option<borrower::Decision> {
+    pub fn wait(&self, pending: &accounts::Pending, asker: &Asker) -> Option<borrower::Decision> {
         let mut shard = self.shard(pending).lock();
         match shard.binary_search_by(|(name, _)| name.cmp(pending)) {
             Ok(at) => match shard.remove(at).1 {
@@ -59,7 +63,7 @@
                 Slot::Asked(_) => None,
             },
             Err(at) => {
-                shard.insert(at, (pending.clone(), Slot::Asked(asker)));
+                shard.insert(at, (pending.clone(), Slot::Asked(asker.clone())));
                 None
             }
         }
--- a/crates/waxwing-keeper/src/connections.rs
+++ b/crates/waxwing-keeper/src/connections.rs
@@ -14,7 +14,6 @@
 use waxwing_protocol::frame;
 use waxwing_protocol::local;
 use waxwing_record::snapshot;
-use waxwing_units::id;
 use waxwing_units::time as units_time;
 
 use crate::charges;
@@ -183,22 +182,18 @@
         local::ToKeeper::Load { in_flight, free_slots } => {
             *keeper.load.lock() = keeper::Load { in_flight, free_slots };
         }
-        local::ToKeeper::Charge { nonce, organisation, wait_ms, stamp } => {
+        local::ToKeeper::Charge { nonce, organisation, request, wait_ms, stamp } => {
             keeper.reporter.observe(stamp);
-            charge(keeper, charges::Asker { connection, nonce }, &organisation, wait_ms);
+            let asker = charges::Asker { connection, nonce, organisation, request };
+            charge(keeper, &asker, wait_ms);
         }
     }
 }
 
-fn charge(
-    keeper: &keeper::Keeper,
-    asker: charges::Asker,
-    organisation: &id::OrganisationId,
-    wait_ms: units_time::Millis,
-) {
+fn charge(keeper: &keeper::Keeper, asker: &charges::Asker, wait_ms: units_time::Millis) {
     let mut out = accounts::Outbox::default();
     let wait = wait_ms.duration();
-    let charge = keeper.accounts.charge(clock::now(), organisation, wait, &mut out);
+    let charge = keeper.accounts.charge(clock::now(), &asker.organisation, wait, &mut out);
     keeper.dispatch(out);
     match charge {
         accounts::Charge::Decided(decision) => keeper.answer(asker, decision),
@@ -208,10 +203,7 @@
             }
         }
         accounts::Charge::UnknownOrganisation => {
-            let decision = Err(local::ChargeRefusal::UnknownOrganisation);
-            let (nonce, stamp) = (asker.nonce, keeper.reporter.stamp());
-            let frame = local::FromKeeper::Charged { nonce, decision, stamp };
-            keeper.connections.send(asker.connection, &frame);
+            keeper.answer_with(asker, Err(local::ChargeRefusal::UnknownOrganisation));
         }
     }
 }
--- a/crates/waxwing-keeper/src/keeper.rs
+++ b/crates/waxwing-keeper/src/keeper.rs
@@ -16,6 +16,7 @@
 use waxwing_protocol::local;
 use waxwing_protocol::peer;
 use waxwing_timeline::event;
+use waxwing_timeline::journal;
 use waxwing_units::id;
 use waxwing_units::time as units_time;
 
@@ -150,7 +151,7 @@
         }
         for (pending, decision) in out.decided {
             if let Some(asker) = self.charges.decide(pending, decision) {
-                self.answer(asker, decision);
+                self.answer(&asker, decision);
             }
         }
         for (shard, wake) in out.wakes {
@@ -159,11 +160,27 @@
     }
 
     /// Answers a request for a token.
-    pub fn answer(&self, asker: charges::Asker, decision: borrower::Decision) {
+    pub fn answer(&self, asker: &charges::Asker, decision: borrower::Decision) {
         let decision = match decision {
             borrower::Decision::Admitted => Ok(()),
             borrower::Decision::Refused(refusal) => Err(local::ChargeRefusal::Contract(refusal)),
         };
+        self.answer_with(asker, decision);
+    }
+
+    /// Answers a request for a token and reports the answer.
+    pub fn answer_with(&self, asker: &charges::Asker, decision: Result<(), local::ChargeRefusal>) {
+        let about = journal::About {
+            request: Some(asker.request.clone()),
+            organisation: Some(asker.organisation.clone()),
+        };
+        self.reporter.report_about(
+            about,
+            match &decision {
+                Ok(()) => event::What::TokenGranted,
+                Err(refusal) => event::What::TokenRefused { reason: refusal.to_string() },
+            },
+        );
         let (nonce, stamp) = (asker.nonce, self.reporter.stamp());
         let frame = local::FromKeeper::Charged { nonce, decision, stamp };
         self.connections.send(asker.connection, &frame);
--- a/crates/waxwing-keeper/src/peers.rs
+++ b/crates/waxwing-keeper/src/peers.rs
@@ -54,7 +54,7 @@
     let phase = heartbeat.entry_vm.phase;
     let is_new = keeper.fleet.lock().hear(clock::now(), heartbeat.entry_vm, incarnation);
     if is_new {
-        keeper.reporter.report(event::What::PeerHeard { vm });
+        keeper.reporter.report(event::What::PeerHeard { peer: vm });
     }
     if is_new || phase_before != Some(phase) {
         keeper.publish_fleet();
--- /dev/null
+++ b/crates/waxwing-lookup/src/settings.rs
@@ -0,0 +1,54 @@
+//! The settings of the look-up process.
+
+use std::net;
+
+use serde::Deserialize;
+use waxwing_process::settings;
+use waxwing_units::id;
+
+/// The settings of the look-up process.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// The name of this machine.
+    pub vm: Option<id::VmId>,
+    /// The failure domain of this machine.
+    pub failure_domain: Option<id::FailureDomainId>,
+    /// Where callers ask.
+    pub listen_address: Option<net::SocketAddr>,
+    /// Where operators read health, metrics and events.
+    pub admin_address: Option<net::SocketAddr>,
+    /// Where this machine's keeper listens.
+    pub keeper_address: Option<net::SocketAddr>,
+    /// Threads that answer.
+    pub workers: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            vm: None,
+            failure_domain: None,
+            listen_address: None,
+            admin_address: None,
+            keeper_address: None,
+            workers: 1,
+        }
+    }
+}
+
+impl settings::Settings for Settings {
+    fn check(&self, faults: &mut settings::Faults) {
+        let address = "is missing; write an IP number and a port, such as 10.0.0.1:7001";
+        faults.require(self.vm.is_some(), "vm", "is missing; write this machine's name");
+        faults.require(
+            self.failure_domain.is_some(),
+            "failure_domain",
+            "is missing; write the failure domain of this machine",
+        );
+        faults.require(self.listen_address.is_some(), "listen_address", address);
+        faults.require(self.admin_address.is_some(), "admin_address", address);
+        faults.require(self.keeper_address.is_some(), "keeper_address", address);
+        faults.require((1..=64).contains(&self.workers), "workers", "must be between 1 and 64");
+    }
+}
--- a/crates/waxwing-protocol/src/local.rs
+++ b/crates/waxwing-protocol/src/local.rs
@@ -1,5 +1,7 @@
 //! Frames between the keeper and the other processes of its machine, over TCP.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 use waxwing_contract::borrower;
 use waxwing_machine::fleet;
@@ -23,6 +25,8 @@
         nonce: id::Nonce,
         /// The organisation.
         organisation: id::OrganisationId,
+        /// The request.
+        request: id::RequestId,
         /// How long the request can wait.
         wait_ms: units_time::Millis,
         /// The clock of the process.
@@ -46,6 +50,16 @@
     UnknownOrganisation,
 }
 
+impl fmt::Display for ChargeRefusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Contract(borrower::Refusal::Exhausted { .. }) => "contract exhausted",
+            Self::Contract(borrower::Refusal::Unreachable) => "no holder reachable",
+            Self::UnknownOrganisation => "organisation not known",
+        })
+    }
+}
+
 /// What the keeper says to a process.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FromKeeper {
--- a/crates/waxwing-stand-ins/src/backend.rs
+++ b/crates/waxwing-stand-ins/src/backend.rs
@@ -134,7 +134,9 @@
             }
         }
     }
-    ntex_time::sleep(time::Duration::from_millis(control.work_ms)).await;
+    if control.work_ms > 0 {
+        ntex_time::sleep(time::Duration::from_millis(control.work_ms)).await;
+    }
     let run = describe(&request, body_bytes);
     let text =
         format!("{} ran {} {} with {body_bytes} bytes\n", backend.name, run.method, run.path);
--- a/crates/waxwing-stand-ins/src/bin/waxwing-stand-in-platform.rs
+++ b/crates/waxwing-stand-ins/src/bin/waxwing-stand-in-platform.rs
@@ -1,6 +1,8 @@
 //! Runs the stand-in for the platform.
 
+use std::fs;
 use std::net;
+use std::path;
 
 use clap::Parser;
 use waxwing_stand_ins::platform;
@@ -11,11 +13,18 @@
     /// Where to listen.
     #[arg(long)]
     listen: net::SocketAddr,
+    /// A JSON file with the list of entry VMs.
+    #[arg(long)]
+    vms: Option<path::PathBuf>,
 }
 
 #[ntex::main]
 async fn main() -> eyre::Result<()> {
     let arguments = Arguments::parse();
-    platform::serve(arguments.listen, platform::Platform::default())?.await?;
+    let platform = platform::Platform::default();
+    if let Some(path) = arguments.vms {
+        platform.set_vms(serde_json::from_str(&fs::read_to_string(path)?)?);
+    }
+    platform::serve(arguments.listen, platform)?.await?;
     Ok(())
 }
--- a/crates/waxwing-stand-ins/src/lib.rs
+++ b/crates/waxwing-stand-ins/src/lib.rs
@@ -5,6 +5,8 @@
 //!
 //! * [`platform`]: the key-value store and the list of entry VMs.
 //! * [`backend`]: a backend server.
+//! * [`caller`]: a caller, which asks where to go and sends requests.
 
 pub mod backend;
+pub mod caller;
 pub mod platform;
--- a/crates/waxwing-timeline/src/event.rs
+++ b/crates/waxwing-timeline/src/event.rs
@@ -46,12 +46,12 @@
     /// Another machine was heard for the first time, or again.
     PeerHeard {
         /// The machine.
-        vm: id::VmId,
+        peer: id::VmId,
     },
     /// Another machine has not been heard for a while.
     PeerSilent {
         /// The machine.
-        vm: id::VmId,
+        peer: id::VmId,
     },
     /// A datagram or frame could not be read.
     MalformedMessage,
@@ -69,6 +69,13 @@
         /// Its service, as the caller wrote it.
         service: String,
     },
+    /// The keeper got a token for the request.
+    TokenGranted,
+    /// The keeper got no token for the request.
+    TokenRefused {
+        /// The reason.
+        reason: String,
+    },
     /// The request's organisation was charged.
     Charged,
     /// An attempt at a backend server began.
@@ -119,8 +126,8 @@
                 write!(f, "seats taken: {seats} of {failure_domain}")
             }
             Self::SeatsGivenUp { failure_domain } => write!(f, "seats given up: {failure_domain}"),
-            Self::PeerHeard { vm } => write!(f, "peer heard: {vm}"),
-            Self::PeerSilent { vm } => write!(f, "peer silent: {vm}"),
+            Self::PeerHeard { peer } => write!(f, "peer heard: {peer}"),
+            Self::PeerSilent { peer } => write!(f, "peer silent: {peer}"),
             Self::MalformedMessage => f.write_str("malformed message dropped"),
             Self::LookedUp { first, vms } => {
                 write!(f, "look-up answered: {vms} VMs, {first} first")
@@ -128,6 +135,8 @@
             Self::RequestReceived { method, service } => {
                 write!(f, "request received: {method} {service}")
             }
+            Self::TokenGranted => f.write_str("token granted"),
+            Self::TokenRefused { reason } => write!(f, "token refused: {reason}"),
             Self::Charged => f.write_str("organisation charged"),
             Self::AttemptStarted { backend_server } => {
                 write!(f, "attempt started: {backend_server}")
