--- a/crates/waxwing-cli/src/show.rs
+++ b/crates/waxwing-cli/src/show.rs
@@ -85,7 +85,7 @@
     let row = |status: &keeper::Status| {
         let seats: Vec<String> =
             status.seats.iter().map(|at| format!("{}:{}", at.failure_domain, at.seats)).collect();
-        let fenced = status.accounts.iter().filter(|account| account.is_fenced).count();
+        let unconfirmed = status.accounts.iter().filter(|account| account.is_unconfirmed).count();
         vec![
             status.entry_vm.vm.to_string(),
             status.entry_vm.failure_domain.to_string(),
@@ -95,12 +95,21 @@
             status.reachable.len().to_string(),
             if seats.is_empty() { "-".to_owned() } else { seats.join(" ") },
             status.accounts.iter().filter(|account| account.base.is_some()).count().to_string(),
-            fenced.to_string(),
+            unconfirmed.to_string(),
             status.drained.len().to_string(),
         ]
     };
     let head = [
-        "VM", "DOMAIN", "PHASE", "REVISION", "STORE", "PEERS", "SEATS", "HOLDS", "FENCED", "DRAINS",
+        "VM",
+        "DOMAIN",
+        "PHASE",
+        "REVISION",
+        "STORE",
+        "PEERS",
+        "SEATS",
+        "HOLDS",
+        "UNCONFIRMED",
+        "DRAINS",
     ];
     table(&head, &machines.iter().map(row).collect::<Vec<_>>())
 }
--- a/crates/waxwing-contract/src/account.rs
+++ b/crates/waxwing-contract/src/account.rs
@@ -39,6 +39,17 @@
     asked_at: units_time::MonoInstant,
 }
 
+/// Whether this start of the machine's process may use the seats that records name it for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Standing {
+    /// Only once a read of the seat records, begun at `since` or later, has named it.
+    Unconfirmed { since: units_time::MonoInstant },
+    /// It may.
+    Confirmed,
+    /// Never again: it has given its seats up.
+    Left,
+}
+
 /// One machine's account of one organisation.
 ///
 /// It borrows tokens for the machine's own requests and holds those parts of the contract whose
@@ -57,7 +68,7 @@
     next_lease_at: units_time::MonoInstant,
     next_lease_nonce: u64,
     seen_at: units_time::MonoInstant,
-    fenced_at: Option<units_time::MonoInstant>,
+    standing: Standing,
     local: Vec<message::Body>,
 }
 
@@ -83,7 +94,7 @@
             next_lease_at: now,
             next_lease_nonce: 1,
             seen_at: now,
-            fenced_at: None,
+            standing: Standing::Unconfirmed { since: now },
             local: Vec::new(),
         }
     }
@@ -103,9 +114,10 @@
         self.base.as_ref().map(holder::Holder::part)
     }
 
-    /// Tells whether the machine stood still for too long and has to confirm its seats.
-    pub const fn is_fenced(&self) -> bool {
-        self.fenced_at.is_some()
+    /// Tells whether the machine has to read the seat records before it may use its seats: at
+    /// the start, and after it stood still for too long.
+    pub const fn is_unconfirmed(&self) -> bool {
+        matches!(self.standing, Standing::Unconfirmed { .. })
     }
 
     /// Puts a newer revision of the contract in force.
@@ -130,7 +142,9 @@
 
     /// Takes over the holders that a read of the seat records, begun at `read_at`, has shown.
     ///
-    /// A machine that stood still too long ignores what was read before it noticed.
+    /// Any read tells whom to ask for tokens. Seats of this machine count only where they were
+    /// read after it started, or after it stood still; a copy from another machine, which may be
+    /// of any age, is never enough for that.
     pub fn set_holders(
         &mut self,
         now: units_time::MonoInstant,
@@ -139,13 +153,16 @@
         out: &mut borrower::Outbox,
     ) {
         self.check_fence(now, out);
-        if self.fenced_at.is_some_and(|fenced_at| read_at < fenced_at) {
-            return;
-        }
-        self.fenced_at = None;
         self.holders = holders;
-        self.take_base_seat(now);
-        self.take_floor_seats(now);
+        if let Standing::Unconfirmed { since } = self.standing
+            && read_at >= since
+        {
+            self.standing = Standing::Confirmed;
+        }
+        if self.standing == Standing::Confirmed {
+            self.take_base_seat(now);
+            self.take_floor_seats(now);
+        }
     }
 
     fn take_base_seat(&mut self, now: units_time::MonoInstant) {
@@ -174,8 +191,13 @@
         }
     }
 
-    /// Gives up all parts, before the seat record is changed to say so.
+    /// Gives up all parts for good, before the seat record is changed to say so.
     pub fn give_up_seats(&mut self) {
+        self.standing = Standing::Left;
+        self.drop_parts();
+    }
+
+    fn drop_parts(&mut self) {
         self.base = None;
         self.floors.clear();
         self.lease_questions.clear();
@@ -189,10 +211,6 @@
         out: &mut borrower::Outbox,
     ) -> borrower::Charge {
         self.check_fence(now, out);
-        if self.is_fenced() {
-            let refusal = borrower::Refusal::Unreachable;
-            return borrower::Charge::Decided(borrower::Decision::Refused(refusal));
-        }
         let targets = self.targets();
         let is_base_here = self.base.is_some();
         let mut effects = borrower::Effects::default();
@@ -217,7 +235,7 @@
         out: &mut borrower::Outbox,
     ) {
         self.check_fence(now, out);
-        if self.is_fenced() || message.answers.is_some_and(|i| i != self.me.incarnation) {
+        if message.answers.is_some_and(|i| i != self.me.incarnation) {
             return;
         }
         if self.holders.base.as_ref() == Some(&message.from.vm) {
@@ -354,9 +372,6 @@
     /// Does what is due at `now`.
     pub fn tick(&mut self, now: units_time::MonoInstant, out: &mut borrower::Outbox) {
         self.check_fence(now, out);
-        if self.is_fenced() {
-            return;
-        }
         if let Some(base) = &mut self.base {
             base.advance(now);
         }
@@ -395,9 +410,6 @@
 
     /// Returns the next instant at which [`Self::tick`] has something to do.
     pub fn next_wake(&self) -> Option<units_time::MonoInstant> {
-        if self.is_fenced() {
-            return None;
-        }
         let lease = self.base.as_ref().map(|_| self.next_lease_at);
         lease.into_iter().chain(self.borrower.next_wake()).min()
     }
@@ -409,8 +421,10 @@
         if stood_still <= self.options.fence {
             return;
         }
-        self.fenced_at = Some(now);
-        self.give_up_seats();
+        if self.standing != Standing::Left {
+            self.standing = Standing::Unconfirmed { since: now };
+        }
+        self.drop_parts();
         let mut effects = borrower::Effects::default();
         self.borrower.refuse_all(&mut effects);
         out.decided.append(&mut effects.decided);
--- a/crates/waxwing-contract/src/accounts.rs
+++ b/crates/waxwing-contract/src/accounts.rs
@@ -57,8 +57,8 @@
     pub revision: id::Revision,
     /// What the machine can grant from, if it holds the base part.
     pub base: Option<contract::Part>,
-    /// Whether the machine stood still too long and has to confirm its seats.
-    pub is_fenced: bool,
+    /// Whether the machine has to read the seat records before it may use its seats.
+    pub is_unconfirmed: bool,
 }
 
 /// Accounts sorted by organisation.
@@ -217,7 +217,7 @@
                 organisation: account.organisation().clone(),
                 revision: account.contract().revision,
                 base: account.base_part(),
-                is_fenced: account.is_fenced(),
+                is_unconfirmed: account.is_unconfirmed(),
             }));
         }
         summaries.sort_by(|a, b| a.organisation.cmp(&b.organisation));
--- a/crates/waxwing-keeper/src/platform.rs
+++ b/crates/waxwing-keeper/src/platform.rs
@@ -65,7 +65,7 @@
     confirm_seats(keeper, revision, read_at);
     while platform.watch(revision, WATCH_WAIT).await? <= revision {
         note_store(keeper, true);
-        if !is_watcher(keeper) || stood_still(keeper) {
+        if !is_watcher(keeper) || is_unconfirmed(keeper) {
             return Ok(());
         }
     }
@@ -80,13 +80,13 @@
     read_at: units_time::MonoInstant,
 ) {
     let agreed = keeper.records.get();
-    if agreed.revision == revision && stood_still(keeper) {
+    if agreed.revision == revision && is_unconfirmed(keeper) {
         keeper.show_seats(&agreed, read_at);
     }
 }
 
-fn stood_still(keeper: &keeper::Keeper) -> bool {
-    keeper.accounts.summaries().iter().any(|summary| summary.is_fenced)
+fn is_unconfirmed(keeper: &keeper::Keeper) -> bool {
+    keeper.accounts.summaries().iter().any(|summary| summary.is_unconfirmed)
 }
 
 /// Tells whether it is this keeper's turn to watch the store.
@@ -102,7 +102,7 @@
         .filter(|vm| vm.failure_domain == me.failure_domain && vm.vm != me.vm)
         .filter(|vm| weight(&vm.vm) > mine)
         .count();
-    ahead < WATCHERS_PER_FAILURE_DOMAIN || stood_still(keeper)
+    ahead < WATCHERS_PER_FAILURE_DOMAIN || is_unconfirmed(keeper)
 }
 
 fn note_store(keeper: &keeper::Keeper, answers: bool) {
--- a/crates/waxwing-measure/src/fleet.rs
+++ b/crates/waxwing-measure/src/fleet.rs
@@ -147,13 +147,14 @@
     pub stuck_ticks: u64,
     queue: collections::BinaryHeap<Scheduled>,
     sequence: u64,
+    options: options::Options,
     waiting: Vec<(usize, borrower::Ticket, u64)>,
     rng: rngs::SmallRng,
 }
 
 impl Fleet {
     /// Creates a fleet without machines.
-    pub fn new(network: Network, seed: u64) -> Self {
+    pub fn new(network: Network, options: options::Options, seed: u64) -> Self {
         Self {
             now_ns: 0,
             vms: Vec::new(),
@@ -163,6 +164,7 @@
             stuck_ticks: 0,
             queue: collections::BinaryHeap::new(),
             sequence: 0,
+            options,
             waiting: Vec::new(),
             rng: rngs::SmallRng::seed_from_u64(seed),
         }
@@ -178,7 +180,7 @@
         clock_drift_ppm: i64,
     ) -> usize {
         let me = message::Peer { vm: vm.clone(), incarnation: id::Incarnation(1) };
-        let (options, domain) = (options::Options::default(), failure_domain.clone());
+        let (options, domain) = (self.options, failure_domain.clone());
         let start = units_time::MonoInstant(0);
         let account = account::Account::new(options, me, domain, contract.clone(), start);
         let index = self.vms.len();
@@ -205,7 +207,7 @@
         vm.frozen_until_ns = 0;
         let incarnation = id::Incarnation(vm.incarnation);
         let me = message::Peer { vm: vm.id.clone(), incarnation };
-        let (options, domain) = (options::Options::default(), vm.failure_domain.clone());
+        let (options, domain) = (self.options, vm.failure_domain.clone());
         vm.account = account::Account::new(options, me, domain, contract.clone(), now);
         vm.tick_at_ns = None;
         self.refuse_waiting(index);
--- a/crates/waxwing-measure/tests/contract_bound.rs
+++ b/crates/waxwing-measure/tests/contract_bound.rs
@@ -56,6 +56,9 @@
     checked: usize,
     requests: u64,
     dead_since_ns: Vec<Option<u64>>,
+    /// All states of the seat records, and the newest that each machine's process has seen.
+    history: Vec<Vec<seat::SeatTable>>,
+    seen: Vec<usize>,
 }
 
 impl Schedule {
@@ -72,7 +75,7 @@
             duplication: *[0.0, 0.2].choose(&mut rng).expect("not empty"),
             cuts: Vec::new(),
         };
-        let mut fleet = fleet::Fleet::new(network, rng.random());
+        let mut fleet = fleet::Fleet::new(network, options::Options::default(), rng.random());
         for index in 0..vms {
             let vm = format!("vm-{index}").parse().expect("a valid name");
             let drift = rng.random_range(-200..=200);
@@ -98,7 +101,10 @@
             checked: 0,
             requests: 0,
             dead_since_ns: vec![None; vms],
+            history: Vec::new(),
+            seen: vec![0; vms],
         };
+        schedule.note_tables();
         (0..vms).for_each(|index| schedule.show_seats(index));
         schedule
     }
@@ -107,11 +113,25 @@
         seat::holders_of(&self.contracts[0], &self.tables)
     }
 
+    fn note_tables(&mut self) {
+        self.history.push(self.tables.clone());
+    }
+
+    /// Lets a machine read the seat records.
     fn show_seats(&mut self, index: usize) {
         let (holders, now_ns) = (self.holders(), self.fleet.now_ns);
+        self.seen[index] = self.history.len() - 1;
         self.fleet.set_holders(index, now_ns, holders);
     }
 
+    /// Gives a machine another one's copy of the seat records, of any age above its own.
+    fn show_copy(&mut self, index: usize) {
+        let copy = self.rng.random_range(self.seen[index]..self.history.len());
+        self.seen[index] = copy;
+        let holders = seat::holders_of(&self.contracts[0], &self.history[copy]);
+        self.fleet.set_holders(index, 0, holders);
+    }
+
     fn any_vm(&mut self) -> usize {
         self.rng.random_range(0..self.fleet.vms.len())
     }
@@ -150,7 +170,8 @@
             8 => self.freeze(index),
             9 if self.fleet.runs(index) => self.give_up(index),
             10..=15 if self.fleet.runs(index) => self.take_over(index),
-            16..=20 if self.fleet.runs(index) => self.show_seats(index),
+            16..=18 if self.fleet.runs(index) => self.show_seats(index),
+            19..=20 if self.fleet.runs(index) => self.show_copy(index),
             _ => self.request_some(index),
         }
     }
@@ -161,7 +182,8 @@
             0..=69 => self.request_some(index),
             70..=74 => self.show_contract(index),
             75..=76 => self.change_contract(),
-            77..=80 if self.fleet.runs(index) => self.show_seats(index),
+            77..=78 if self.fleet.runs(index) => self.show_seats(index),
+            79..=80 if self.fleet.runs(index) => self.show_copy(index),
             81..=82 => self.freeze(index),
             83..=84 => self.restart(index),
             85 => self.kill(index),
@@ -238,6 +260,7 @@
         self.put_in_force(index, contract);
         let contract = self.contracts[contract].clone();
         self.fleet.restart(index, &contract);
+        self.seen[index] = 0;
         if self.rng.random_bool(0.7) {
             self.show_seats(index);
         }
@@ -272,7 +295,7 @@
                 *table = changed;
             }
         }
-        self.show_seats(index);
+        self.note_tables();
     }
 
     /// Takes over seats of machines that ended or stood still for long; the platform's list
@@ -291,6 +314,7 @@
                 *table = claimed;
             }
         }
+        self.note_tables();
         self.show_seats(index);
     }
 
