perf(contract): keep tokens for the requests that a central bucket would admit

Cause: a request that waits for the next token takes it away from a later request that a central bucket, which never waits, would have admitted.

Change: the holder keeps an ideal bucket besides its own. It sees each request when it was made, by the borrower's estimate of the question's age. A request that the ideal bucket refuses gets a token only where there are more than those kept for others.

--- a/crates/waxwing-contract/src/account.rs
+++ b/crates/waxwing-contract/src/account.rs
@@ -287,11 +287,12 @@
         body: message::Body,
         out: &mut borrower::Outbox,
     ) {
-        let message::Body::Ask { part, nonce, needed, ahead, wait_ms } = body else {
+        let message::Body::Ask { part, nonce, needed, ahead, wait_ms, age_us } = body else {
             return;
         };
         let borrower = from.clone();
-        let ask = holder::Ask { borrower, nonce, needed, ahead, wait: wait_ms.duration() };
+        let (wait, age) = (wait_ms.duration(), age_us.duration());
+        let ask = holder::Ask { borrower, nonce, needed, ahead, wait, age };
         let answer = match &part {
             message::PartName::Base => self.base.as_mut().map(|base| base.ask(now, &ask)),
             message::PartName::Floor(domain) => {
--- a/crates/waxwing-contract/src/borrower.rs
+++ b/crates/waxwing-contract/src/borrower.rs
@@ -156,6 +156,7 @@
     abandoned: Vec<Abandoned>,
     demand: Demand,
     silent_base: Option<units_time::MonoInstant>,
+    round_trip: time::Duration,
 }
 
 impl Borrower {
@@ -170,6 +171,7 @@
             abandoned: Vec::new(),
             demand: Demand { window_began_at: now, current: 0, previous: 0 },
             silent_base: None,
+            round_trip: time::Duration::ZERO,
         }
     }
 
@@ -271,7 +273,7 @@
     }
 
     fn send(&mut self, now: units_time::MonoInstant, question: Question, effects: &mut Effects) {
-        effects.sends.push(ask(now, &question));
+        effects.sends.push(ask(now, &question, self.round_trip));
         self.questions.push(question);
     }
 
@@ -291,6 +293,7 @@
             return;
         };
         let question = self.questions.swap_remove(at);
+        self.note_round_trip(now, &question);
         let valid_until = question.asked_at.after(self.options.grant_use());
         let Question { ticket, part, to, .. } = question;
         let grant = Grant { part, to, nonce, unspent: tokens, valid_until };
@@ -304,6 +307,18 @@
         }
     }
 
+    /// Keeps an average of round trips to the base part's holder.
+    fn note_round_trip(&mut self, now: units_time::MonoInstant, question: &Question) {
+        if question.attempts > 1 || question.part != message::PartName::Base {
+            return;
+        }
+        let round_trip = now.since(question.sent_at);
+        self.round_trip = match self.round_trip.is_zero() {
+            true => round_trip,
+            false => (self.round_trip * 7 + round_trip) / 8,
+        };
+    }
+
     fn start(
         &mut self,
         now: units_time::MonoInstant,
@@ -358,6 +373,7 @@
             return;
         };
         let question = self.questions.swap_remove(at);
+        self.note_round_trip(now, &question);
         let Some(ticket) = question.ticket else {
             return;
         };
@@ -451,7 +467,7 @@
             }
             question.attempts += 1;
             question.sent_at = now;
-            effects.sends.push(ask(now, question));
+            effects.sends.push(ask(now, question, self.round_trip));
         }
         for nonce in failed {
             self.question_failed(now, nonce, targets, effects);
@@ -503,6 +519,7 @@
             needed: rate::Tokens(0),
             ahead: rate::Tokens(0),
             wait_ms: units_time::Millis(0),
+            age_us: units_time::Micros(0),
         };
         effects.sends.push((base.clone(), body));
     }
@@ -538,7 +555,8 @@
     Decision::Refused(Refusal::Exhausted { retry_after_ms: units_time::Millis(0) })
 }
 
-fn ask(now: units_time::MonoInstant, question: &Question) -> Send {
+fn ask(now: units_time::MonoInstant, question: &Question, round_trip: time::Duration) -> Send {
+    let age = now.since(question.asked_at) + round_trip / 2;
     let wait = question.give_up_at.since(now).as_millis();
     let body = message::Body::Ask {
         part: question.part.clone(),
@@ -546,6 +564,7 @@
         needed: rate::Tokens(u64::from(question.ticket.is_some())),
         ahead: question.ahead,
         wait_ms: units_time::Millis(u64::try_from(wait).unwrap_or(u64::MAX)),
+        age_us: units_time::Micros::from_duration(age),
     };
     (question.to.clone(), body)
 }
--- a/crates/waxwing-contract/src/holder.rs
+++ b/crates/waxwing-contract/src/holder.rs
@@ -42,6 +42,8 @@
     pub ahead: rate::Tokens,
     /// How long the borrower can wait.
     pub wait: time::Duration,
+    /// How long ago the request was made, by the borrower's estimate.
+    pub age: time::Duration,
 }
 
 /// The answer to an [`Ask`].
@@ -64,6 +66,10 @@
     options: options::Options,
     own: contract::Part,
     bucket: bucket::Bucket,
+    /// What a central bucket would hold that sees each request when it is made.
+    ///
+    /// It decides nothing by itself: it tells which requests the tokens are kept for.
+    ideal: bucket::Bucket,
     quiet_until: units_time::MonoInstant,
     outstanding: Vec<Outstanding>,
     leases: Vec<Lease>,
@@ -82,6 +88,7 @@
             options,
             own,
             bucket: bucket::Bucket::empty(quiet_until),
+            ideal: bucket::Bucket::empty(quiet_until),
             quiet_until,
             outstanding: Vec::new(),
             leases: Vec::new(),
@@ -182,18 +189,40 @@
         self.outstanding.iter().find(|grant| grant.nonce == nonce && grant.borrower == *borrower)
     }
 
+    /// Takes a request's tokens from the ideal bucket, at the time when it was made; returns
+    /// whether there were enough.
+    fn is_due(&mut self, now: units_time::MonoInstant, ask: &Ask) -> bool {
+        let part = self.part();
+        let made_at = now.before(ask.age);
+        self.ideal.refill(made_at, part.rate_per_second, part.burst_tokens);
+        let is_due = self.ideal.level() >= ask.needed.nano();
+        if is_due {
+            self.ideal.take(ask.needed.nano());
+        }
+        is_due
+    }
+
+    /// Tells whether there are more tokens than those kept for requests that are due.
+    fn has_surplus(&self, left: rate::NanoTokens) -> bool {
+        left >= self.ideal.level()
+    }
+
     fn grant(&mut self, now: units_time::MonoInstant, ask: &Ask) -> Answer {
         let part = self.part();
+        let is_due = self.is_due(now, ask);
         let left = self.bucket.level().minus(ask.needed.nano());
         let owed = rate::NanoTokens::ZERO.minus(left);
         let start_after = units_time::until_surely_passed(part.rate_per_second.span_of(owed));
         let outstanding = self.outstanding_tokens().nano().plus(ask.needed.nano());
         let promised_in_time = owed.0 <= 0 || start_after <= ask.wait.min(self.options.debt_max);
-        if outstanding > part.burst_tokens || !promised_in_time {
+        let is_kept_for_others = !is_due && !self.has_surplus(left);
+        if outstanding > part.burst_tokens || !promised_in_time || is_kept_for_others {
             return Answer::Denied(self.exhausted(start_after));
         }
         let start_after = if owed.0 <= 0 { time::Duration::ZERO } else { start_after };
-        let tokens = rate::Tokens(ask.needed.0 + self.spare_ahead(left, part, ask.ahead).0);
+        let spare = self.spare_ahead(left, part, ask.ahead);
+        self.ideal.take(spare.nano());
+        let tokens = rate::Tokens(ask.needed.0 + spare.0);
         if tokens.0 == 0 {
             return Answer::Denied(self.exhausted(time::Duration::ZERO));
         }
@@ -238,6 +267,8 @@
             return;
         };
         let grant = self.outstanding.swap_remove(at);
-        self.bucket.put_back(grant.tokens.min(unspent).nano());
+        let unspent = grant.tokens.min(unspent);
+        self.bucket.put_back(unspent.nano());
+        self.ideal.put_back(unspent.nano());
     }
 }
--- a/crates/waxwing-contract/src/message.rs
+++ b/crates/waxwing-contract/src/message.rs
@@ -64,6 +64,9 @@
         ahead: rate::Tokens,
         /// How long the borrower can wait for the tokens.
         wait_ms: units_time::Millis,
+        /// How long ago, by the borrower's estimate, the request was made when the question
+        /// arrives.
+        age_us: units_time::Micros,
     },
     /// A holder grants tokens.
     Grant {
--- a/crates/waxwing-contract/src/options.rs
+++ b/crates/waxwing-contract/src/options.rs
@@ -38,7 +38,7 @@
             fence: time::Duration::from_secs(10),
             ask_timeout: time::Duration::from_millis(110),
             ask_attempts: 2,
-            debt_max: time::Duration::from_millis(100),
+            debt_max: time::Duration::from_millis(150),
             probe_interval: time::Duration::from_millis(500),
             ahead: time::Duration::from_millis(200),
         }
--- a/crates/waxwing-units/src/time.rs
+++ b/crates/waxwing-units/src/time.rs
@@ -32,6 +32,11 @@
         Self(self.0.saturating_add(u64::try_from(span.as_nanos()).unwrap_or(u64::MAX)))
     }
 
+    /// Returns the instant `span` before this one.
+    pub fn before(self, span: time::Duration) -> Self {
+        Self(self.0.saturating_sub(u64::try_from(span.as_nanos()).unwrap_or(u64::MAX)))
+    }
+
     /// Returns the span since `earlier`, zero where `earlier` is the later one.
     pub const fn since(self, earlier: Self) -> time::Duration {
         time::Duration::from_nanos(self.0.saturating_sub(earlier.0))
@@ -97,6 +102,49 @@
     }
 }
 
+/// A span in microseconds.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(transparent)]
+pub struct Micros(pub u64);
+
+impl Micros {
+    /// Returns the span as the standard library's type.
+    pub const fn duration(self) -> time::Duration {
+        time::Duration::from_micros(self.0)
+    }
+
+    /// Returns `span` in whole microseconds, rounded down.
+    pub fn from_duration(span: time::Duration) -> Self {
+        Self(u64::try_from(span.as_micros()).unwrap_or(u64::MAX))
+    }
+}
+
+impl fmt::Display for Micros {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}us", self.0)
+    }
+}
+
+impl str::FromStr for Micros {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let number = text.strip_suffix("us").and_then(|number| number.parse().ok());
+        number.map(Self).ok_or_else(|| Error { text: text.to_owned() })
+    }
+}
+
 impl str::FromStr for Millis {
     type Err = Error;
 
