fix(entry): finish requests under way before the server stops

Cause: after SIGTERM the HTTP server's own graceful stop closed connections whose upload was still coming in.

Change: the process counts requests until their answers have ended, takes none after its linger, and stops the server only when none is left.

Ruled out: a longer shutdown time-out of the server (it was 60 s; the cut came at once).

Before: connection ended, upload lost.

--- a/crates/waxwing-contract/src/bucket.rs
+++ b/crates/waxwing-contract/src/bucket.rs
@@ -18,6 +18,11 @@
         Self { level: rate::NanoTokens::ZERO, refilled_at: now }
     }
 
+    /// Creates a bucket with `level` that refills from `now` on.
+    pub const fn full(now: units_time::MonoInstant, level: rate::NanoTokens) -> Self {
+        Self { level, refilled_at: now }
+    }
+
     /// Returns the level at the last refill.
     pub const fn level(&self) -> rate::NanoTokens {
         self.level
--- a/crates/waxwing-contract/src/holder.rs
+++ b/crates/waxwing-contract/src/holder.rs
@@ -68,7 +68,8 @@
     bucket: bucket::Bucket,
     /// What a central bucket would hold that sees each request when it is made.
     ///
-    /// It decides nothing by itself: it tells which requests the tokens are kept for.
+    /// It decides nothing by itself: it tells which requests the tokens are kept for. It starts
+    /// full, since a central bucket would not have been emptied by the start of a machine.
     ideal: bucket::Bucket,
     quiet_until: units_time::MonoInstant,
     outstanding: Vec<Outstanding>,
@@ -88,7 +89,7 @@
             options,
             own,
             bucket: bucket::Bucket::empty(quiet_until),
-            ideal: bucket::Bucket::empty(quiet_until),
+            ideal: bucket::Bucket::full(quiet_until, own.burst_tokens),
             quiet_until,
             outstanding: Vec::new(),
             leases: Vec::new(),
--- /dev/null
+++ b/crates/waxwing-contract/tests/contract/account.rs
@@ -0,0 +1,161 @@
+//! One machine's account: messages that are late, doubled or crossed, and seats.
+
+use std::time;
+
+use crate::support::{at_ms, domain, part, peer, vm};
+use waxwing_contract::account;
+use waxwing_contract::borrower;
+use waxwing_contract::contract;
+use waxwing_contract::message;
+use waxwing_contract::options;
+use waxwing_units::id;
+use waxwing_units::rate;
+use waxwing_units::time as units_time;
+
+const WAIT: time::Duration = time::Duration::from_millis(100);
+
+fn contract() -> contract::Contract {
+    contract::Contract {
+        organisation: "kiln".parse().expect("a valid name"),
+        revision: id::Revision(1),
+        whole: part(10, 10),
+        home: domain("home"),
+        spread: contract::Spread::Whole,
+    }
+}
+
+fn holders(base: &str) -> account::Holders {
+    account::Holders { base: Some(vm(base)), floors: Vec::new() }
+}
+
+fn account(me: &str) -> account::Account {
+    let options = options::Options::default();
+    account::Account::new(options, peer(me), domain("home"), contract(), at_ms(0))
+}
+
+/// An account on vm-b that has asked vm-a for one token, and the question's nonce.
+fn asking() -> (account::Account, borrower::Outbox, id::Nonce) {
+    let mut account = account("vm-b");
+    let mut out = borrower::Outbox::default();
+    account.set_holders(at_ms(0), at_ms(0), holders("vm-a"), &mut out);
+    let charge = account.charge(at_ms(0), WAIT, &mut out);
+    assert!(matches!(charge, borrower::Charge::Waiting(_)));
+    let sent = out.outgoing.pop().expect("a question");
+    assert_eq!(sent.to, vm("vm-a"));
+    let message::Body::Ask { nonce, .. } = sent.message.body else {
+        panic!("not a question: {:?}", sent.message.body);
+    };
+    (account, out, nonce)
+}
+
+fn grant(nonce: id::Nonce, tokens: u64, answers: u64) -> message::Message {
+    message::Message {
+        organisation: contract().organisation,
+        from: peer("vm-a"),
+        answers: Some(id::Incarnation(answers)),
+        body: message::Body::Grant {
+            part: message::PartName::Base,
+            nonce,
+            tokens: rate::Tokens(tokens),
+            start_after_ms: units_time::Millis(0),
+        },
+    }
+}
+
+fn settled(out: &borrower::Outbox) -> Vec<u64> {
+    let unspent = |outgoing: &message::Outgoing| match outgoing.message.body {
+        message::Body::Settle { unspent, .. } => Some(unspent.0),
+        _ => None,
+    };
+    out.outgoing.iter().filter_map(unspent).collect()
+}
+
+#[test]
+fn a_doubled_grant_admits_one_request_and_gives_nothing_back() {
+    let (mut account, mut out, nonce) = asking();
+    account.receive(at_ms(10), grant(nonce, 1, 1), &mut out);
+    account.receive(at_ms(11), grant(nonce, 1, 1), &mut out);
+    assert_eq!(out.decided.len(), 1);
+    assert_eq!(out.decided[0].1, borrower::Decision::Admitted);
+    assert_eq!(settled(&out), [0]);
+}
+
+#[test]
+fn a_grant_for_another_start_of_the_process_is_dropped() {
+    let (mut account, mut out, nonce) = asking();
+    account.receive(at_ms(10), grant(nonce, 1, 7), &mut out);
+    assert!(out.decided.is_empty());
+}
+
+#[test]
+fn a_grant_after_the_request_has_gone_is_given_back_whole() {
+    let (mut account, mut out, nonce) = asking();
+    account.tick(at_ms(101), &mut out);
+    let refused = borrower::Decision::Refused(borrower::Refusal::Unreachable);
+    assert_eq!(out.decided.pop().expect("a decision").1, refused);
+    account.receive(at_ms(150), grant(nonce, 3, 1), &mut out);
+    assert_eq!(settled(&out), [3]);
+    assert!(out.decided.is_empty());
+}
+
+#[test]
+fn tokens_ahead_are_spent_only_while_they_are_valid() {
+    let (mut account, mut out, nonce) = asking();
+    account.receive(at_ms(10), grant(nonce, 3, 1), &mut out);
+    let admitted = borrower::Charge::Decided(borrower::Decision::Admitted);
+    assert_eq!(account.charge(at_ms(100), WAIT, &mut out), admitted);
+    let late = account.charge(at_ms(600), WAIT, &mut out);
+    assert!(matches!(late, borrower::Charge::Waiting(_)), "{late:?}");
+}
+
+#[test]
+fn a_copy_of_the_seat_records_gives_no_seat() {
+    let mut account = account("vm-a");
+    let mut out = borrower::Outbox::default();
+    let own_start = at_ms(1);
+    let mut late = account::Account::new(
+        options::Options::default(),
+        peer("vm-a"),
+        domain("home"),
+        contract(),
+        own_start,
+    );
+    late.set_holders(at_ms(5), at_ms(0), holders("vm-a"), &mut out);
+    assert!(late.base_part().is_none(), "the copy may be older than the process");
+    late.set_holders(at_ms(5), at_ms(4), holders("vm-a"), &mut out);
+    assert!(late.base_part().is_some());
+    account.set_holders(at_ms(5), at_ms(4), holders("vm-a"), &mut out);
+    account.give_up_seats();
+    account.set_holders(at_ms(6), at_ms(6), holders("vm-a"), &mut out);
+    assert!(account.base_part().is_none(), "what was given up stays given up");
+}
+
+#[test]
+fn a_machine_that_stood_still_loses_its_seats_until_it_has_read_again() {
+    let mut account = account("vm-a");
+    let mut out = borrower::Outbox::default();
+    account.set_holders(at_ms(5), at_ms(4), holders("vm-a"), &mut out);
+    for second in 1..=9 {
+        account.tick(at_ms(second * 1_000), &mut out);
+    }
+    assert!(account.base_part().is_some());
+    account.tick(at_ms(19_100), &mut out);
+    assert!(account.base_part().is_none() && account.is_unconfirmed());
+    account.set_holders(at_ms(19_200), at_ms(19_000), holders("vm-a"), &mut out);
+    assert!(account.base_part().is_none(), "read before it noticed");
+    account.set_holders(at_ms(19_300), at_ms(19_150), holders("vm-a"), &mut out);
+    assert!(account.base_part().is_some() && !account.is_unconfirmed());
+}
+
+#[test]
+fn an_older_contract_never_comes_back() {
+    let mut account = account("vm-a");
+    let newer = contract::Contract { revision: id::Revision(9), whole: part(2, 2), ..contract() };
+    account.set_contract(at_ms(1), newer.clone());
+    account.set_contract(at_ms(2), contract());
+    assert_eq!(*account.contract(), newer);
+    let other_cut =
+        contract::Contract { revision: id::Revision(10), home: domain("elsewhere"), ..contract() };
+    account.set_contract(at_ms(3), other_cut);
+    assert_eq!(*account.contract(), newer, "the cut stays for a contract's whole life");
+}
--- /dev/null
+++ b/crates/waxwing-contract/tests/contract/holder.rs
@@ -0,0 +1,117 @@
+//! What a holder grants, and what it counts as outstanding.
+
+use std::time;
+
+use crate::support::{at_ms, domain, part, peer};
+use waxwing_contract::floor;
+use waxwing_contract::holder;
+use waxwing_contract::message;
+use waxwing_contract::options;
+use waxwing_units::id;
+use waxwing_units::rate;
+
+fn ask(nonce: u64, needed: u64) -> holder::Ask {
+    holder::Ask {
+        borrower: peer("vm-b"),
+        nonce: id::Nonce(nonce),
+        needed: rate::Tokens(needed),
+        ahead: rate::Tokens(0),
+        wait: time::Duration::ZERO,
+        age: time::Duration::ZERO,
+    }
+}
+
+fn is_granted(answer: holder::Answer) -> bool {
+    matches!(answer, holder::Answer::Granted { .. })
+}
+
+/// A holder of 10/s, burst 10 that has been filled for two seconds.
+fn full_holder() -> holder::Holder {
+    let mut holder = holder::Holder::new(options::Options::default(), part(10, 10), at_ms(0));
+    holder.advance(at_ms(2_000));
+    holder
+}
+
+#[test]
+fn a_new_holder_grants_nothing_until_old_grants_have_expired() {
+    let mut holder = holder::Holder::new(options::Options::default(), part(10, 10), at_ms(600));
+    let starting = holder::Answer::Denied(message::Denial::Starting);
+    assert_eq!(holder.ask(at_ms(599), &ask(1, 1)), starting);
+    assert!(!is_granted(holder.ask(at_ms(601), &ask(2, 1))), "it starts empty");
+    assert!(is_granted(holder.ask(at_ms(800), &ask(3, 1))), "it fills from then on");
+}
+
+#[test]
+fn a_repeated_question_takes_no_second_token() {
+    let mut holder = full_holder();
+    let first = holder.ask(at_ms(2_000), &ask(1, 4));
+    let level = holder.level();
+    assert!(is_granted(first));
+    assert_eq!(holder.ask(at_ms(2_000), &ask(1, 4)), first);
+    assert_eq!(holder.level(), level);
+}
+
+#[test]
+fn outstanding_grants_take_up_room_until_they_are_settled_or_expire() {
+    for (what, settled, expected) in [("settled", true, 10), ("expired", false, 4)] {
+        let mut holder = full_holder();
+        assert!(is_granted(holder.ask(at_ms(2_000), &ask(1, 10))), "{what}");
+        if settled {
+            holder.settle(at_ms(2_000), &peer("vm-b"), id::Nonce(1), rate::Tokens(0));
+        }
+        holder.advance(at_ms(2_550));
+        assert_eq!(holder.level().whole(), rate::Tokens(if settled { 5 } else { 0 }), "{what}");
+        holder.advance(at_ms(2_700));
+        holder.advance(at_ms(3_101));
+        assert_eq!(holder.level().whole(), rate::Tokens(expected), "{what}");
+    }
+}
+
+#[test]
+fn unspent_tokens_come_back_once() {
+    let mut holder = full_holder();
+    assert!(is_granted(holder.ask(at_ms(2_000), &ask(1, 6))));
+    for _ in 0..2 {
+        holder.settle(at_ms(2_000), &peer("vm-b"), id::Nonce(1), rate::Tokens(6));
+    }
+    assert_eq!(holder.level().whole(), rate::Tokens(10));
+}
+
+#[test]
+fn a_floor_part_is_lent_only_without_outstanding_grants() {
+    let options = options::Options::default();
+    let mut floor = floor::Floor::new(options, at_ms(0), domain("d"), part(10, 10));
+    assert!(floor.lend(at_ms(2_999)).is_none(), "an older lease may still run");
+    floor.advance(at_ms(3_100));
+    assert!(is_granted(floor.ask(at_ms(4_100), &ask(1, 2))));
+    assert!(floor.lend(at_ms(4_200)).is_none(), "a grant is outstanding");
+    let lent = holder::Answer::Denied(message::Denial::Lent);
+    assert_eq!(floor.ask(at_ms(4_201), &ask(2, 1)), lent, "nothing new is granted meanwhile");
+    floor.settle(at_ms(4_300), &peer("vm-b"), id::Nonce(1), rate::Tokens(0));
+    assert_eq!(floor.lend(at_ms(4_300)), Some(part(10, 10)));
+    assert_eq!(floor.ask(at_ms(7_200), &ask(3, 1)), lent, "the lease runs");
+    assert!(!is_granted(floor.ask(at_ms(7_320), &ask(4, 1))), "it starts empty");
+    assert!(is_granted(floor.ask(at_ms(7_600), &ask(5, 1))), "the lease has ended");
+}
+
+#[test]
+fn a_lease_counts_less_long_than_it_runs() {
+    let mut holder = full_holder();
+    holder.add_lease(at_ms(2_100), &domain("d"), part(5, 5), at_ms(2_000));
+    assert_eq!(holder.part(), part(15, 15));
+    holder.advance(at_ms(4_300));
+    assert_eq!(holder.part(), part(15, 15));
+    holder.advance(at_ms(4_400));
+    assert_eq!(holder.part(), part(10, 10));
+    assert!(holder.level() <= rate::Tokens(10).nano(), "what was lent is gone");
+}
+
+#[test]
+fn a_lowered_contract_takes_effect_at_once() {
+    let mut holder = full_holder();
+    holder.add_lease(at_ms(2_000), &domain("d"), part(5, 5), at_ms(2_000));
+    holder.set_part(at_ms(2_000), part(2, 2));
+    holder.limit_leases(at_ms(2_000), |_| part(1, 1));
+    assert_eq!(holder.part(), part(3, 3));
+    assert!(holder.level() <= rate::Tokens(3).nano());
+}
--- /dev/null
+++ b/crates/waxwing-contract/tests/contract/seat.rs
@@ -0,0 +1,55 @@
+//! When a seat may be taken over, and by whom.
+
+use crate::support::{at_ms, domain, vm};
+use waxwing_contract::options;
+use waxwing_contract::seat;
+
+#[test]
+fn a_seat_is_taken_over_only_from_a_machine_that_is_unlisted_and_silent_for_long() {
+    let cases = [
+        // (listed, silent for ms, may be taken over)
+        (true, 0, false),
+        (true, 60_000, false),
+        (false, 0, false),
+        (false, 11_999, false),
+        (false, 12_004, false),
+        (false, 12_010, true),
+        (false, 60_000, true),
+    ];
+    for (is_listed, silent_ms, expected) in cases {
+        let sighting = seat::Sighting { vm: vm("vm-a"), heard_at: at_ms(5_000), is_listed };
+        let now = at_ms(5_000 + silent_ms);
+        let may = seat::may_take_over(&options::Options::default(), now, &sighting);
+        assert_eq!(may, expected, "listed {is_listed}, silent for {silent_ms} ms");
+    }
+}
+
+#[test]
+fn machines_claim_disjoint_seats_that_are_all_taken() {
+    let candidates = [vm("vm-a"), vm("vm-b"), vm("vm-c")];
+    let mut table = seat::SeatTable::vacant(domain("d"));
+    for me in &candidates {
+        let claimed = seat::claim(&table, me, &candidates, |_| false).expect("free seats");
+        for (old, new) in table.holders.iter().zip(&claimed.holders) {
+            assert!(old.is_none() || old == new, "a taken seat stays");
+        }
+        table = claimed;
+    }
+    assert!(table.holders.iter().all(Option::is_some));
+    assert!(seat::claim(&table, &vm("vm-a"), &candidates, |_| false).is_none());
+}
+
+#[test]
+fn a_machine_gives_up_its_own_seats_only() {
+    let candidates = [vm("vm-a"), vm("vm-b")];
+    let table = seat::SeatTable::vacant(domain("d"));
+    let table = seat::claim(&table, &vm("vm-a"), &candidates, |_| false).expect("free seats");
+    let table = seat::claim(&table, &vm("vm-b"), &candidates, |_| false).expect("free seats");
+    let left = seat::give_up(&table, &vm("vm-a")).expect("some seats");
+    assert!(!left.holders.contains(&Some(vm("vm-a"))));
+    let of_b = |table: &seat::SeatTable| {
+        table.holders.iter().filter(|holder| **holder == Some(vm("vm-b"))).count()
+    };
+    assert_eq!(of_b(&left), of_b(&table));
+    assert!(seat::give_up(&left, &vm("vm-a")).is_none());
+}
--- a/crates/waxwing-entry/src/carry.rs
+++ b/crates/waxwing-entry/src/carry.rs
@@ -71,11 +71,12 @@
     entry: web::types::State<entry::Shared>,
 ) -> web::HttpResponse {
     let began_at = clock::now();
+    let under_way = entry::UnderWay::begin(&entry.under_way);
     let name = headers::request_id(request.headers()).unwrap_or_else(new_request_id);
     report_received(&entry, &request, &name);
     let mut organisation = None;
     let carried = match prepare(&entry, &request, &name, began_at, &mut organisation).await {
-        Ok(journey) => run(&entry, &request, payload, &journey).await,
+        Ok(journey) => run(&entry, &request, payload, &journey, under_way).await,
         Err(refusal) => Err(refusal),
     };
     let response = carried.unwrap_or_else(|refusal| {
@@ -134,6 +135,9 @@
     began_at: units_time::MonoInstant,
     organisation: &mut Option<id::OrganisationId>,
 ) -> Result<Journey> {
+    if entry.is_closed.load(atomic::Ordering::Acquire) {
+        return Err(refusal::Refusal::Leaving);
+    }
     let records = entry.keeper.view().records;
     if records.revision == id::Revision(0) {
         return Err(refusal::Refusal::NoRecords);
@@ -251,6 +255,7 @@
     request: &web::HttpRequest,
     payload: web::types::Payload,
     journey: &Journey,
+    under_way: entry::UnderWay,
 ) -> Result<web::HttpResponse> {
     let mut source = take_body(request, payload, journey).await?;
     let mut tried = Vec::new();
@@ -259,7 +264,7 @@
         let slot = wait_for_slot(entry, journey, &tried).await?;
         tried.push(slot.server().backend_server.clone());
         let failure = match attempt_once(entry, request, journey, &mut source, slot).await {
-            Ok(response) => return Ok(response),
+            Ok((response, slot)) => return Ok(answer(entry, journey, &response, slot, under_way)),
             Err(failure) => failure,
         };
         let attempts = u32::try_from(tried.len()).unwrap_or(u32::MAX);
@@ -362,7 +367,7 @@
     journey: &Journey,
     source: &mut Source,
     mut slot: pools::Slot,
-) -> std::result::Result<web::HttpResponse, upstream::Failure> {
+) -> std::result::Result<(client::ClientResponse, pools::Slot), upstream::Failure> {
     let server = slot.server().clone();
     let backend_server = server.backend_server.clone();
     entry.counters.count_attempt(journey.service.service.as_str());
@@ -372,7 +377,7 @@
     match upstream::send(server.address, sending, journey.left()).await {
         Ok(response) => {
             slot.set_ending(backend_server::Ending::Answered);
-            Ok(answer(entry, journey, &response, slot))
+            Ok((response, slot))
         }
         Err(failure) => {
             slot.set_ending(ending_of(failure.fault));
@@ -447,6 +452,7 @@
     journey: &Journey,
     response: &client::ClientResponse,
     slot: pools::Slot,
+    under_way: entry::UnderWay,
 ) -> web::HttpResponse {
     let status = response.status();
     report_ended(
@@ -462,7 +468,7 @@
     }
     builder.header(headers::OUTCOME, outcome::Outcome::Answered.to_string());
     builder.header(headers::REQUEST, journey.request.as_str());
-    let on_end = report_attempt(entry, journey, slot);
+    let on_end = report_attempt(entry, journey, slot, under_way);
     let len_bytes = headers::text(response.headers(), header::CONTENT_LENGTH.as_str());
     let len_bytes = len_bytes.and_then(|text| text.parse().ok());
     let body = answer::Answer::new(response.take_payload(), len_bytes, on_end);
@@ -470,7 +476,12 @@
 }
 
 /// Returns what is done when the answer's body has ended.
-fn report_attempt(entry: &entry::Entry, journey: &Journey, slot: pools::Slot) -> answer::OnEnd {
+fn report_attempt(
+    entry: &entry::Entry,
+    journey: &Journey,
+    slot: pools::Slot,
+    under_way: entry::UnderWay,
+) -> answer::OnEnd {
     let reporter = entry.reporter.clone();
     let about = journey.about();
     let backend_server = slot.server().backend_server.clone();
@@ -481,5 +492,6 @@
         }
         let ending = if is_whole { "whole answer" } else { "answer broke off" }.to_owned();
         reporter.report_about(about, event::What::AttemptEnded { backend_server, ending });
+        drop(under_way);
     })
 }
--- a/crates/waxwing-entry/src/entry.rs
+++ b/crates/waxwing-entry/src/entry.rs
@@ -24,6 +24,10 @@
     pub reporter: reporter::Reporter,
     /// Whether the process was told to end.
     pub is_stopping: atomic::AtomicBool,
+    /// Whether the process takes no new requests any more.
+    pub is_closed: atomic::AtomicBool,
+    /// Requests whose answers have not ended.
+    pub under_way: sync::Arc<atomic::AtomicU64>,
     /// What is counted.
     pub counters: Counters,
 }
@@ -71,5 +75,23 @@
     }
 }
 
+/// Counts a request until its answer has ended.
+#[derive(Debug)]
+pub struct UnderWay(sync::Arc<atomic::AtomicU64>);
+
+impl UnderWay {
+    /// Counts one more request.
+    pub fn begin(count: &sync::Arc<atomic::AtomicU64>) -> Self {
+        count.fetch_add(1, atomic::Ordering::AcqRel);
+        Self(count.clone())
+    }
+}
+
+impl Drop for UnderWay {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, atomic::Ordering::AcqRel);
+    }
+}
+
 /// The shared state, as workers hold it.
 pub type Shared = sync::Arc<Entry>;
--- a/crates/waxwing-entry/src/main.rs
+++ b/crates/waxwing-entry/src/main.rs
@@ -3,6 +3,7 @@
 use std::process;
 use std::sync;
 use std::sync::atomic;
+use std::time;
 
 use clap::Parser;
 use eyre::OptionExt;
@@ -18,12 +19,16 @@
 use waxwing_keeper_client::client;
 use waxwing_process::admin;
 use waxwing_process::arguments;
+use waxwing_process::clock;
 use waxwing_process::logs;
 use waxwing_process::metrics;
 use waxwing_process::reporter;
 use waxwing_process::signal;
 use waxwing_timeline::event;
 
+/// How often the process looks whether all requests have ended.
+const FINISH_INTERVAL: time::Duration = time::Duration::from_millis(100);
+
 /// Milliseconds per second.
 const MS_PER_S: u64 = 1_000;
 
@@ -77,6 +82,8 @@
         pools,
         reporter,
         is_stopping: atomic::AtomicBool::new(false),
+        is_closed: atomic::AtomicBool::new(false),
+        under_way: sync::Arc::default(),
         counters: entry::Counters::new(metrics),
     }))
 }
@@ -128,5 +135,15 @@
     entry.reporter.report(event::What::Stopping);
     entry.is_stopping.store(true, atomic::Ordering::Release);
     ntex_time::sleep(entry.settings.linger.duration()).await;
+    entry.is_closed.store(true, atomic::Ordering::Release);
+    let closed_at = clock::now();
+    let finish_max = entry.settings.finish_max.duration();
+    while entry.under_way.load(atomic::Ordering::Acquire) > 0
+        && clock::now().since(closed_at) < finish_max
+    {
+        ntex_time::sleep(FINISH_INTERVAL).await;
+    }
+    // The last bytes of the last answer leave before the process does.
+    ntex_time::sleep(FINISH_INTERVAL).await;
     server.stop(true).await;
 }
--- a/crates/waxwing-entry/src/refusal.rs
+++ b/crates/waxwing-entry/src/refusal.rs
@@ -18,6 +18,9 @@
 /// Why a caller gets no answer of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum Refusal {
+    /// The machine leaves and takes no new requests.
+    #[error("this entry VM leaves; use another one")]
+    Leaving,
     /// No records are in force yet.
     #[error("this entry VM has no records yet; use another one")]
     NoRecords,
@@ -107,7 +110,7 @@
             }
             Self::BodyTooLarge { .. } => http::StatusCode::PAYLOAD_TOO_LARGE,
             Self::Exhausted { .. } => http::StatusCode::TOO_MANY_REQUESTS,
-            Self::NoRecords | Self::ContractUnreachable | Self::QueueFull => {
+            Self::Leaving | Self::NoRecords | Self::ContractUnreachable | Self::QueueFull => {
                 http::StatusCode::SERVICE_UNAVAILABLE
             }
             Self::Failed { fault, .. } => match fault {
--- a/crates/waxwing-process/src/logs.rs
+++ b/crates/waxwing-process/src/logs.rs
@@ -1,11 +1,18 @@
 //! The log of the process, as JSON lines.
 
+use logforth::filter::rustlog;
+
+/// The level where the environment sets none.
+const DEFAULT_LEVEL: &str = "info";
+
 /// Begins to write the log to standard error; `RUST_LOG` sets the level, `info` by default.
 ///
 /// A second call changes nothing.
 pub fn begin() {
-    let started =
-        logforth::starter_log::stderr().layout(logforth::layout::JsonLayout::default()).try_apply();
+    let started = logforth::starter_log::stderr()
+        .layout(logforth::layout::JsonLayout::default())
+        .filter(rustlog::RustLogFilterBuilder::from_default_env_or(DEFAULT_LEVEL).build())
+        .try_apply();
     if started.is_err() {
         log::debug!("the log was begun already");
     }
--- /dev/null
+++ b/crates/waxwing-session/tests/session/configuration.rs
@@ -0,0 +1,134 @@
+//! Records come into force everywhere, never go back, and survive outages of the store.
+
+use std::fs;
+use std::thread;
+use std::time;
+
+use serde_json::json;
+use waxwing_session::deployment;
+use waxwing_stand_ins::caller;
+
+use crate::support;
+
+fn revision(deployment: &deployment::Deployment, vm: &str) -> u64 {
+    let status = deployment.read(deployment.admin(vm, "waxwing-keeper"), "/status");
+    status["revision"].as_u64().expect("a revision")
+}
+
+fn set_faults(deployment: &deployment::Deployment, faults: &serde_json::Value) {
+    deployment.control(deployment.platform(), "/control/faults", faults);
+}
+
+#[test]
+fn a_withdrawn_key_stops_within_seconds_on_an_open_connection() {
+    use std::io::Write;
+    let (deployment, key) = support::start(20);
+    let mut open: Vec<std::net::TcpStream> = support::VMS
+        .iter()
+        .map(|vm| caller::connect(deployment.entry(vm)).expect("a connection"))
+        .collect();
+    let ask = |stream: &mut std::net::TcpStream| {
+        let request = support::keyed("GET", "/ledger/a", &key);
+        stream.write_all(&request.head(false)).expect("sent");
+        caller::read_answer(stream).expect("a whole answer").status
+    };
+    for stream in &mut open {
+        assert_eq!(ask(stream), 200);
+    }
+    assert_eq!(deployment.waxwing(&["key", "withdraw", "kiln-1"]).0, 0);
+    let withdrawn_at = time::Instant::now();
+    for stream in &mut open {
+        deployment::wait_until("the key is refused", || ask(stream) == 403);
+    }
+    assert!(withdrawn_at.elapsed() < time::Duration::from_secs(5), "{:?}", withdrawn_at.elapsed());
+}
+
+#[test]
+fn the_system_serves_through_an_outage_and_a_fresh_machine_learns_from_its_peers() {
+    let (mut deployment, key) = support::start(21);
+    let before = revision(&deployment, support::VMS[0]);
+    set_faults(&deployment, &json!({"is_out": true}));
+    for vm in support::VMS {
+        let seen = support::call(&deployment, vm, support::keyed("GET", "/ledger/out", &key));
+        assert!(seen.starts_with("200 answered"), "{vm}: {seen}");
+    }
+    let (code, text) = deployment.waxwing(&["key", "withdraw", "kiln-1"]);
+    assert_eq!(code, 1, "{text}");
+    for process in ["waxwing-keeper", "waxwing-lookup", "waxwing-entry"] {
+        deployment.kill(&format!("{}.{process}", support::VMS[1]));
+    }
+    deployment.start_vm(support::VMS[1]);
+    deployment::wait_until("the fresh machine has its peers' records", || {
+        caller::connect(deployment.admin(support::VMS[1], "waxwing-keeper")).is_ok()
+            && revision(&deployment, support::VMS[1]) == before
+    });
+    support::wait_for_service(&deployment, support::VMS[1], &key);
+    set_faults(&deployment, &json!({}));
+    assert_eq!(deployment.waxwing(&["key", "withdraw", "kiln-1"]).0, 0);
+    for vm in support::VMS {
+        deployment::wait_until("the withdrawal is in force", || revision(&deployment, vm) > before);
+        let seen = support::call(&deployment, vm, support::keyed("GET", "/ledger/out", &key));
+        assert!(seen.starts_with("403"), "{vm}: {seen}");
+    }
+}
+
+#[test]
+fn a_change_whose_answer_is_lost_is_told_as_accepted() {
+    let (deployment, _) = support::start(22);
+    set_faults(&deployment, &json!({"lost_answers": 1}));
+    let records = support::records(&deployment).replace("rate: 500/s", "rate: 600/s");
+    let path = std::env::temp_dir().join(format!("waxwing-lost-{}.yaml", std::process::id()));
+    fs::write(&path, records).expect("written");
+    let (code, text) = deployment.waxwing(&["apply", &path.display().to_string()]);
+    fs::remove_file(&path).expect("removed");
+    assert_eq!(code, 0, "{text}");
+    assert!(text.contains("organisation/kiln") && text.contains("accepted at revision"), "{text}");
+}
+
+#[test]
+fn a_record_of_an_unknown_version_is_passed_over_and_reported() {
+    let (deployment, key) = support::start(23);
+    let record = json!({"kind": "organisation", "schema_version": 99, "name": "later"});
+    let write = json!({
+        "key": "records/organisation/later",
+        "value": {"operation": 1, "record": record},
+        "expected": 0,
+    });
+    deployment.control(deployment.platform(), "/v1/write", &write);
+    deployment::wait_until("the record is reported", || {
+        deployment.waxwing(&["timeline"]).1.contains("record passed over: organisation/later")
+    });
+    let seen =
+        support::call(&deployment, support::VMS[0], support::keyed("GET", "/ledger/a", &key));
+    assert!(seen.starts_with("200 answered"), "{seen}");
+}
+
+#[test]
+fn revisions_only_rise_while_the_store_comes_and_goes() {
+    let (deployment, _) = support::start(24);
+    let mut last = [0; 2];
+    for round in 0..6 {
+        let (verb, drain) = if round % 2 == 0 { ("--entry-vm", true) } else { ("--end", false) };
+        let mut arguments = vec!["drain", "maintenance", verb];
+        if drain {
+            arguments.push(support::VMS[1]);
+        }
+        assert_eq!(deployment.waxwing(&arguments).0, 0);
+        set_faults(&deployment, &json!({"is_out": round % 3 == 0}));
+        for _ in 0..5 {
+            for (at, vm) in support::VMS.iter().enumerate() {
+                let now = revision(&deployment, vm);
+                assert!(now >= last[at], "{vm}: revision {now} after {}", last[at]);
+                last[at] = now;
+            }
+            thread::sleep(time::Duration::from_millis(50));
+        }
+        set_faults(&deployment, &json!({}));
+    }
+    let newest = deployment.read(deployment.platform(), "/v1/list?prefix=")["revision"].as_u64();
+    for vm in support::VMS {
+        deployment::wait_until("the newest records are in force everywhere", || {
+            Some(revision(&deployment, vm)) == newest
+        });
+    }
+}
--- /dev/null
+++ b/crates/waxwing-session/tests/session/main.rs
@@ -0,0 +1,7 @@
+//! Whole sessions over the real processes.
+
+mod configuration;
+mod failures;
+mod path;
+mod support;
+mod truth;
--- a/crates/waxwing-session/tests/path.rs
+++ b/crates/waxwing-session/tests/session/path.rs
@@ -4,43 +4,18 @@
 use waxwing_session::deployment;
 use waxwing_stand_ins::caller;
 
-const RECORDS: &str = include_str!("records.yaml");
-
-/// A deployment with two entry VMs in two failure domains and a backend server in each.
-fn start(number: u8) -> (deployment::Deployment, String) {
-    let mut deployment = deployment::Deployment::start(number);
-    deployment.start_backend("ledger-1", 1, 3);
-    deployment.start_backend("ledger-2", 2, 3);
-    deployment.start_vms(&[("vm-lautoka-1", "lautoka"), ("vm-nausori-1", "nausori")]);
-    let records = RECORDS
-        .replace("LEDGER-1", &deployment.backend(1).to_string())
-        .replace("LEDGER-2", &deployment.backend(2).to_string());
-    deployment.apply(&records);
-    let key = deployment.issue_key("kiln-1", "kiln");
-    for vm in ["vm-lautoka-1", "vm-nausori-1"] {
-        deployment::wait_until("keyed requests are answered", || {
-            let request = caller::Request::new("GET", "/ledger/ready").header("waxwing-key", &key);
-            caller::call(deployment.entry(vm), &request).is_ok_and(|a| a.status == 200)
-        });
-    }
-    (deployment, key)
-}
-
-fn describe(answer: &caller::Answer) -> String {
-    let outcome = answer.header("waxwing-outcome");
-    format!("{} {outcome}: {}", answer.status, answer.text())
-}
+use crate::support;
 
 #[test]
 fn a_session_from_lookup_to_time_line() {
-    let (deployment, key) = start(1);
+    let (deployment, key) = support::start(1);
     let mut session = String::new();
     let mut note = |line: String| session.push_str(&format!("{}\n", line.trim_end()));
     note(format!("look-up: {}", deployment.looked_up("vm-lautoka-1").join(" ")));
     let entry = deployment.entry("vm-lautoka-1");
     let call = |name: &str, request: caller::Request| {
         let request = request.header("waxwing-request", name);
-        describe(&caller::call(entry, &request).expect("a whole answer"))
+        support::describe(&caller::call(entry, &request).expect("a whole answer"))
     };
     let keyed =
         |method: &str, path: &str| caller::Request::new(method, path).header("waxwing-key", &key);
@@ -71,7 +46,7 @@
 
 #[test]
 fn no_process_uses_io_uring() {
-    let (deployment, _) = start(2);
+    let (deployment, _) = support::start(2);
     for process in ["waxwing-keeper", "waxwing-lookup", "waxwing-entry"] {
         let pid = deployment.pid(&format!("vm-lautoka-1.{process}"));
         let mut has_epoll = false;
--- a/crates/waxwing-stand-ins/src/backend.rs
+++ b/crates/waxwing-stand-ins/src/backend.rs
@@ -34,6 +34,8 @@
     Fail,
     /// It runs the request and breaks the connection in the middle of the answer.
     BreakAnswer,
+    /// It runs the request and breaks the connection before any answer.
+    Drop,
 }
 
 /// How the stand-in behaves.
@@ -143,6 +145,12 @@
     backend.data.lock().runs.push(run);
     match control.mode {
         Mode::BreakAnswer => break_answer(),
+        Mode::Drop => {
+            if let Some(io) = request.io() {
+                io.close();
+            }
+            web::HttpResponse::Ok().finish()
+        }
         _ => web::HttpResponse::Ok().body(text),
     }
 }
@@ -178,6 +186,7 @@
     let counts = collections::BTreeMap::from([
         ("runs", data.runs.len() as u64),
         ("broken_uploads", data.broken_uploads),
+        ("in_flight", u64::from(data.in_flight)),
         ("most_in_flight", u64::from(data.most_in_flight)),
     ]);
     web::HttpResponse::Ok().json(&counts)
