fix(request): remember over all attempts that a request may have run

Cause: each attempt was judged by itself. An idempotent request whose first attempt ran it and lost the answer, and whose second attempt was shed, was told as not run. Found when the golden table of states and faults was read.

Change: a history over the attempts of a request; once one of them may have run it, no later one makes the outcome 'not run'.

Before: the new session case 'drops, then sheds' saw '503 not-run' with one execution at the backend server. After: '503 unknown'. The table of single attempts is unchanged.

--- a/crates/waxwing-entry/src/carry.rs
+++ b/crates/waxwing-entry/src/carry.rs
@@ -259,16 +259,17 @@
 ) -> Result<web::HttpResponse> {
     let mut source = take_body(request, payload, journey).await?;
     let mut tried = Vec::new();
+    let mut history = attempt::History::default();
     entry.pools.earn_retry(&journey.service.service);
     loop {
-        let slot = wait_for_slot(entry, journey, &tried).await?;
+        let slot = wait_for_slot(entry, journey, &tried, &mut history).await?;
         tried.push(slot.server().backend_server.clone());
         let failure = match attempt_once(entry, request, journey, &mut source, slot).await {
             Ok((response, slot)) => return Ok(answer(entry, journey, &response, slot, under_way)),
             Err(failure) => failure,
         };
         let attempts = u32::try_from(tried.len()).unwrap_or(u32::MAX);
-        judge(entry, journey, &source, failure, attempts)?;
+        judge(entry, journey, &source, &mut history, failure, attempts)?;
     }
 }
 
@@ -308,31 +309,41 @@
     entry: &entry::Entry,
     journey: &Journey,
     tried: &[id::BackendServerId],
+    history: &mut attempt::History,
 ) -> Result<pools::Slot> {
     let service = &journey.service.service;
     let flow = &journey.organisation;
-    let no_slot = refusal::Refusal::Failed {
-        state: attempt::State::Waiting,
-        fault: attempt::Fault::NoSlot,
-        outcome: outcome::Outcome::NotRun,
-    };
     match entry.pools.acquire(service, flow, journey.deadline, tried) {
         pools::Acquired::Slot(slot) => Ok(slot),
-        pools::Acquired::QueueFull => Err(refusal::Refusal::QueueFull),
+        pools::Acquired::QueueFull if tried.is_empty() => Err(refusal::Refusal::QueueFull),
+        pools::Acquired::QueueFull => Err(no_slot(journey, history)),
         pools::Acquired::Waits(receiver) => {
             match ntex_time::timeout(journey.left(), receiver).await {
                 Ok(Ok(lease)) => Ok(entry.pools.slot(service, lease)),
-                Ok(Err(_)) | Err(()) => Err(no_slot),
+                Ok(Err(_)) | Err(()) => Err(no_slot(journey, history)),
             }
         }
     }
 }
 
+/// Tells the caller that no slot came free in time.
+fn no_slot(journey: &Journey, history: &mut attempt::History) -> refusal::Refusal {
+    let (state, fault) = (attempt::State::Waiting, attempt::Fault::NoSlot);
+    let kept = attempt::Body::Kept;
+    let outcome = match history.judge(state, fault, journey.repeatability, kept) {
+        attempt::Verdict::Tell(outcome) => outcome,
+        attempt::Verdict::TryAgain { otherwise } => otherwise,
+        attempt::Verdict::BreakAnswer => outcome::Outcome::Unknown,
+    };
+    refusal::Refusal::Failed { state, fault, outcome }
+}
+
 /// Tells whether the request is attempted again; an error is what the caller is told.
 fn judge(
     entry: &entry::Entry,
     journey: &Journey,
     source: &Source,
+    history: &mut attempt::History,
     failure: upstream::Failure,
     attempts: u32,
 ) -> Result<()> {
@@ -341,7 +352,7 @@
         Source::Streamed(_) => attempt::Body::Streamed,
     };
     let upstream::Failure { state, fault, broken } = failure;
-    let outcome = match attempt::judge(state, fault, journey.repeatability, kept) {
+    let outcome = match history.judge(state, fault, journey.repeatability, kept) {
         attempt::Verdict::TryAgain { otherwise } => {
             let has_time = !journey.left().is_zero();
             if has_time && entry.pools.spend_retry(&journey.service.service, attempts) {
--- /dev/null
+++ b/crates/waxwing-machine/tests/machine/fleet.rs
@@ -0,0 +1,72 @@
+//! Who is reachable, and whom heartbeats go to.
+
+use std::time;
+
+use waxwing_machine::entry_vm;
+use waxwing_machine::fleet;
+use waxwing_units::id;
+
+use crate::backend_server::at_ms;
+
+fn entry_vm(name: &str, domain: &str) -> entry_vm::EntryVm {
+    entry_vm::EntryVm {
+        vm: name.parse().expect("a valid name"),
+        failure_domain: domain.parse().expect("a valid name"),
+        peer_address: "127.0.0.1:1".parse().expect("an address"),
+        entry_address: "127.0.0.1:2".parse().expect("an address"),
+        phase: entry_vm::Phase::Live,
+    }
+}
+
+#[test]
+fn the_list_alone_makes_nobody_reachable_and_its_lag_hides_nobody() {
+    let mut fleet = fleet::Fleet::default();
+    fleet.set_list(at_ms(0), &[entry_vm("dead", "d")]);
+    fleet.hear(at_ms(0), entry_vm("new", "d"), id::Incarnation(1));
+    let reachable = fleet.reachable(at_ms(100));
+    assert_eq!(reachable.len(), 1);
+    assert_eq!(reachable[0].entry_vm.vm.as_str(), "new");
+}
+
+#[test]
+fn silence_makes_unreachable_and_a_word_makes_reachable_again() {
+    let mut fleet = fleet::Fleet::default();
+    assert!(fleet.hear(at_ms(0), entry_vm("a", "d"), id::Incarnation(1)), "new");
+    assert!(!fleet.hear(at_ms(500), entry_vm("a", "d"), id::Incarnation(1)), "known");
+    assert_eq!(fleet.reachable(at_ms(2_500)).len(), 1);
+    assert_eq!(fleet.reachable(at_ms(2_501)).len(), 0);
+    assert!(fleet.hear(at_ms(9_000), entry_vm("a", "d"), id::Incarnation(1)), "back");
+}
+
+#[test]
+fn what_a_machine_says_of_itself_goes_before_the_list() {
+    let mut fleet = fleet::Fleet::default();
+    let leaving = entry_vm::EntryVm { phase: entry_vm::Phase::Leaving, ..entry_vm("a", "d") };
+    fleet.hear(at_ms(0), leaving, id::Incarnation(1));
+    fleet.set_list(at_ms(1), &[entry_vm("a", "d")]);
+    let member = fleet.member(&"a".parse().expect("a valid name")).expect("known");
+    assert_eq!(member.entry_vm.phase, entry_vm::Phase::Leaving);
+    fleet.set_list(at_ms(2), &[]);
+    fleet.forget_silent(at_ms(30_000), time::Duration::from_secs(60));
+    assert_eq!(fleet.members().len(), 1, "remembered while a take-over may need it");
+    fleet.forget_silent(at_ms(60_000), time::Duration::from_secs(60));
+    assert_eq!(fleet.members().len(), 0);
+}
+
+#[test]
+fn heartbeats_reach_every_machine_and_their_number_grows_with_failure_domains() {
+    let mut fleet = fleet::Fleet::default();
+    let vms: Vec<entry_vm::EntryVm> =
+        (0..950).map(|n| entry_vm(&format!("vm-{n}"), &format!("d-{}", n % 21))).collect();
+    fleet.set_list(at_ms(0), &vms);
+    let mut heard = vec![0; vms.len()];
+    for me in &vms {
+        let targets = fleet.heartbeat_targets(me);
+        assert!(targets.len() <= fleet::NEAR_TARGETS_MAX + 20 * fleet::FAR_TARGETS_MAX);
+        for target in targets {
+            let number: usize = target.vm.as_str()[3..].parse().expect("a number");
+            heard[number] += 1;
+        }
+    }
+    assert!(heard.iter().all(|from| *from >= fleet::NEAR_TARGETS_MAX), "somebody hears few");
+}
--- /dev/null
+++ b/crates/waxwing-machine/tests/machine/main.rs
@@ -0,0 +1,5 @@
+//! Entry VMs and backend servers, object by object.
+
+mod backend_server;
+mod fleet;
+mod pool;
--- a/crates/waxwing-request/src/attempt.rs
+++ b/crates/waxwing-request/src/attempt.rs
@@ -118,6 +118,41 @@
     }
 }
 
+/// What the attempts at one request have come to so far.
+///
+/// Once an attempt may have run the request, no later attempt makes that untrue.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct History {
+    may_have_run: bool,
+}
+
+impl History {
+    /// Judges a fault in the latest attempt, in the light of all attempts before it.
+    pub fn judge(
+        &mut self,
+        state: State,
+        fault: Fault,
+        repeatability: Repeatability,
+        body: Body,
+    ) -> Verdict {
+        self.may_have_run |= may_have_run(state, fault);
+        match judge(state, fault, repeatability, body) {
+            Verdict::TryAgain { otherwise } => {
+                Verdict::TryAgain { otherwise: self.outcome(otherwise) }
+            }
+            Verdict::Tell(outcome) => Verdict::Tell(self.outcome(outcome)),
+            Verdict::BreakAnswer => Verdict::BreakAnswer,
+        }
+    }
+
+    fn outcome(self, latest: outcome::Outcome) -> outcome::Outcome {
+        match self.may_have_run {
+            true => outcome::Outcome::Unknown,
+            false => latest,
+        }
+    }
+}
+
 impl fmt::Display for State {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.pad(match self {
--- /dev/null
+++ b/crates/waxwing-request/tests/request/queue.rs
@@ -0,0 +1,64 @@
+//! Slots are shared out evenly over organisations.
+
+use std::time;
+
+use waxwing_request::queue;
+use waxwing_units::time as units_time;
+
+fn at_ms(ms: u64) -> units_time::MonoInstant {
+    units_time::MonoInstant(0).after(time::Duration::from_millis(ms))
+}
+
+fn flow(name: &str) -> queue::Flow {
+    Some(name.parse().expect("a valid name"))
+}
+
+#[test]
+fn a_small_organisation_is_served_beside_one_that_floods() {
+    let mut queue = queue::Queue::default();
+    for number in 0..200 {
+        queue.push(flow("large"), at_ms(1_000), format!("large-{number}")).expect("room");
+    }
+    for number in 0..3 {
+        queue.push(flow("small"), at_ms(1_000), format!("small-{number}")).expect("room");
+    }
+    let first: Vec<String> = (0..6).filter_map(|_| queue.pop(at_ms(0))).collect();
+    assert_eq!(first, ["large-0", "small-0", "large-1", "small-1", "large-2", "small-2"]);
+}
+
+#[test]
+fn a_newcomer_gets_no_credit_for_the_time_before_it_came() {
+    let mut queue = queue::Queue::default();
+    for number in 0..100 {
+        queue.push(flow("old"), at_ms(1_000), format!("old-{number}")).expect("room");
+    }
+    for _ in 0..50 {
+        queue.pop(at_ms(0));
+    }
+    for number in 0..10 {
+        queue.push(flow("new"), at_ms(1_000), format!("new-{number}")).expect("room");
+    }
+    let next: Vec<String> = (0..8).filter_map(|_| queue.pop(at_ms(0))).collect();
+    let of_old = next.iter().filter(|name| name.starts_with("old")).count();
+    assert!((3..=5).contains(&of_old), "{next:?}");
+}
+
+#[test]
+fn requests_past_their_deadline_get_no_slot() {
+    let mut queue = queue::Queue::default();
+    queue.push(None, at_ms(10), "late").expect("room");
+    queue.push(None, at_ms(100), "in time").expect("room");
+    assert_eq!(queue.pop(at_ms(10)), Some("in time"));
+    assert_eq!(queue.pop(at_ms(10)), None);
+    assert!(queue.is_empty());
+}
+
+#[test]
+fn one_organisation_fills_its_own_line_only() {
+    let mut queue = queue::Queue::default();
+    for number in 0..queue::WAITING_MAX_PER_ORGANISATION {
+        queue.push(flow("large"), at_ms(1), number).expect("room");
+    }
+    assert_eq!(queue.push(flow("large"), at_ms(1), 7), Err(7));
+    assert_eq!(queue.push(flow("small"), at_ms(1), 8), Ok(()));
+}
--- a/crates/waxwing-session/tests/session/truth.rs
+++ b/crates/waxwing-session/tests/session/truth.rs
@@ -46,6 +46,15 @@
         case("is late at a look-up", json!({"work_ms": 900}), "GET", "300", "504 unknown", 0, 1),
         case("breaks its answer", json!({"mode": "break_answer"}), "POST", "4000", "broken", 1, 1),
         case("drops the request", json!({"mode": "drop"}), "POST", "4000", "502 unknown", 1, 1),
+        case(
+            "drops, then sheds",
+            json!({"mode": "drop_then_shed"}),
+            "GET",
+            "4000",
+            "503 unknown",
+            1,
+            1,
+        ),
         case("drops a look-up", json!({"mode": "drop"}), "GET", "4000", "502 unknown", 1, 3),
     ]
 }
--- a/crates/waxwing-stand-ins/src/backend.rs
+++ b/crates/waxwing-stand-ins/src/backend.rs
@@ -36,6 +36,8 @@
     BreakAnswer,
     /// It runs the request and breaks the connection before any answer.
     Drop,
+    /// It does so once, and then says that it did not run the request.
+    DropThenShed,
 }
 
 /// How the stand-in behaves.
@@ -99,6 +101,10 @@
         Self { name, slots, data: sync::Arc::default() }
     }
 
+    fn has_run(&self, path: &str) -> bool {
+        self.data.lock().runs.iter().any(|run| run.path == path)
+    }
+
     /// Takes a slot, if one is free.
     fn begin(&self) -> Option<(InFlight<'_>, Control)> {
         let mut data = self.data.lock();
@@ -126,6 +132,9 @@
     if control.mode == Mode::Fail {
         return web::HttpResponse::InternalServerError().body("failed\n");
     }
+    if control.mode == Mode::DropThenShed && backend.has_run(request.path()) {
+        return shed();
+    }
     let mut body_bytes = 0;
     while let Some(chunk) = payload.next().await {
         match chunk {
@@ -145,7 +154,7 @@
     backend.data.lock().runs.push(run);
     match control.mode {
         Mode::BreakAnswer => break_answer(),
-        Mode::Drop => {
+        Mode::Drop | Mode::DropThenShed => {
             if let Some(io) = request.io() {
                 io.close();
             }
