feat(entry): pass requests on to other entry VMs, under the shift cap

Before, a failure domain whose backend servers were gone refused everything with 'not-run' although its neighbours had free slots.

No region is overloaded by a decision: the machine that is asked admits a request only into a free slot of its own, beyond a quarter of all, and none while its own requests wait. What others believe costs an attempt at most.

Weighed: weights from reported headroom (reports lag and lie), and slots granted ahead to remote machines (idle slots at both ends, and messages that grow with pairs of machines). The slot's owner deciding at arrival needs no message ahead, at the price of a round trip when it says no.

--- a/crates/waxwing-entry/src/carry.rs
+++ b/crates/waxwing-entry/src/carry.rs
@@ -1,5 +1,6 @@
 //! From the caller's request to the answer.
 
+use std::net;
 use std::sync::atomic;
 use std::time;
 
@@ -13,6 +14,7 @@
 use ntex::web;
 use rand::Rng;
 use waxwing_machine::backend_server;
+use waxwing_machine::entry_vm;
 use waxwing_process::clock;
 use waxwing_record::record;
 use waxwing_request::attempt;
@@ -26,6 +28,7 @@
 use crate::answer;
 use crate::entry;
 use crate::headers;
+use crate::places;
 use crate::pools;
 use crate::refusal;
 use crate::upload;
@@ -49,6 +52,8 @@
     deadline: units_time::MonoInstant,
     repeatability: attempt::Repeatability,
     began_at: units_time::MonoInstant,
+    /// Whether another entry VM passed the request on.
+    is_guest: bool,
 }
 
 impl Journey {
@@ -87,6 +92,54 @@
     close_if_stopping(&entry, response)
 }
 
+/// Carries one request that another entry VM passed on, which has checked and charged it.
+pub async fn carry_guest(
+    request: web::HttpRequest,
+    payload: web::types::Payload,
+    entry: web::types::State<entry::Shared>,
+) -> web::HttpResponse {
+    let began_at = clock::now();
+    let under_way = entry::UnderWay::begin(&entry.under_way);
+    let name = headers::request_id(request.headers()).unwrap_or_else(new_request_id);
+    report_received(&entry, &request, &name);
+    let carried = match prepare_guest(&entry, &request, &name, began_at) {
+        Ok(journey) => run(&entry, &request, payload, &journey, under_way).await,
+        Err(refusal) => Err(refusal),
+    };
+    carried.unwrap_or_else(|refusal| {
+        let about = journal::About { request: Some(name.clone()), organisation: None };
+        report_ended(&entry, about, refusal.outcome(), refusal.status().as_u16(), began_at);
+        refusal.guest_response(&name)
+    })
+}
+
+fn prepare_guest(
+    entry: &entry::Entry,
+    request: &web::HttpRequest,
+    name: &id::RequestId,
+    began_at: units_time::MonoInstant,
+) -> Result<Journey> {
+    if entry.is_closed.load(atomic::Ordering::Acquire) {
+        return Err(refusal::Refusal::Leaving);
+    }
+    let records = entry.keeper.view().records;
+    let service = records.service(service_name(request.path())).cloned();
+    let service = service.ok_or(refusal::Refusal::UnknownService)?;
+    check_len(request, &service)?;
+    let timeout = timeout(request, &service)?;
+    let organisation = headers::text(request.headers(), headers::ORGANISATION);
+    Ok(Journey {
+        request: name.clone(),
+        organisation: organisation.and_then(|name| name.parse().ok()),
+        service,
+        key: None,
+        deadline: began_at.after(timeout),
+        repeatability: repeatability(request),
+        began_at,
+        is_guest: true,
+    })
+}
+
 /// Asks the caller to open its next connection elsewhere where the process ends.
 fn close_if_stopping(entry: &entry::Entry, mut response: web::HttpResponse) -> web::HttpResponse {
     if entry.is_stopping.load(atomic::Ordering::Acquire) {
@@ -156,6 +209,7 @@
         deadline: began_at.after(timeout),
         repeatability: repeatability(request),
         began_at,
+        is_guest: false,
     };
     organisation.clone_from(&journey.organisation);
     charge(entry, &journey).await?;
@@ -258,18 +312,97 @@
     under_way: entry::UnderWay,
 ) -> Result<web::HttpResponse> {
     let mut source = take_body(request, payload, journey).await?;
-    let mut tried = Vec::new();
+    let mut tried = Tried::default();
     let mut history = attempt::History::default();
     entry.pools.earn_retry(&journey.service.service);
     loop {
-        let slot = wait_for_slot(entry, journey, &tried, &mut history).await?;
-        tried.push(slot.server().backend_server.clone());
-        let failure = match attempt_once(entry, request, journey, &mut source, slot).await {
-            Ok((response, slot)) => return Ok(answer(entry, journey, &response, slot, under_way)),
+        let target = choose(entry, journey, &tried, &mut history).await?;
+        tried.note(&target);
+        let attempted = attempt_once(entry, request, journey, &mut source, target).await;
+        let failure = match attempted {
+            Ok((response, target)) => {
+                return Ok(answer(entry, journey, &response, target, under_way));
+            }
             Err(failure) => failure,
         };
-        let attempts = u32::try_from(tried.len()).unwrap_or(u32::MAX);
-        judge(entry, journey, &source, &mut history, failure, attempts)?;
+        judge(entry, journey, &source, &mut history, failure, tried.attempts)?;
+    }
+}
+
+/// Where a request was attempted already.
+#[derive(Debug, Default)]
+struct Tried {
+    attempts: u32,
+    servers: Vec<id::BackendServerId>,
+    vms: Vec<id::VmId>,
+}
+
+impl Tried {
+    fn note(&mut self, target: &Target) {
+        self.attempts += 1;
+        match target {
+            Target::Slot(slot) => self.servers.push(slot.server().backend_server.clone()),
+            Target::EntryVm(vm) => self.vms.push(vm.vm.clone()),
+        }
+    }
+}
+
+/// Where a request is attempted.
+enum Target {
+    /// At a backend server of this machine.
+    Slot(pools::Slot),
+    /// At another entry VM.
+    EntryVm(entry_vm::EntryVm),
+}
+
+impl Target {
+    const fn address(&self) -> net::SocketAddr {
+        match self {
+            Self::Slot(slot) => slot.server().address,
+            Self::EntryVm(vm) => vm.forward_address,
+        }
+    }
+
+    /// Returns the name under which the time line shows the target.
+    fn name(&self) -> String {
+        match self {
+            Self::Slot(slot) => slot.server().backend_server.to_string(),
+            Self::EntryVm(vm) => vm.vm.to_string(),
+        }
+    }
+
+    const fn set_ending(&mut self, ending: backend_server::Ending) {
+        if let Self::Slot(slot) = self {
+            slot.set_ending(ending);
+        }
+    }
+}
+
+/// Chooses where the request is attempted next.
+async fn choose(
+    entry: &entry::Entry,
+    journey: &Journey,
+    tried: &Tried,
+    history: &mut attempt::History,
+) -> Result<Target> {
+    if journey.is_guest {
+        let slot = entry.pools.acquire_guest(&journey.service.service);
+        return slot.map(Target::Slot).ok_or(refusal::Refusal::NoSlotToSpare);
+    }
+    let view = entry.keeper.view();
+    let is_usable = entry.pools.is_usable(&journey.service.service);
+    let place = match tried.attempts {
+        0 => entry.places.first(&view, &journey.service, is_usable),
+        _ => entry.places.again(&view, &journey.service, is_usable, &tried.vms),
+    };
+    match place {
+        places::Place::There(vm) => Ok(Target::EntryVm(vm)),
+        places::Place::Here => {
+            wait_for_slot(entry, journey, &tried.servers, history).await.map(Target::Slot)
+        }
+        places::Place::Capped if tried.attempts == 0 => Err(refusal::Refusal::ShiftCapped),
+        places::Place::None if tried.attempts == 0 => Err(refusal::Refusal::NoBackendServer),
+        places::Place::Capped | places::Place::None => Err(no_slot(journey, history)),
     }
 }
 
@@ -377,23 +510,21 @@
     request: &web::HttpRequest,
     journey: &Journey,
     source: &mut Source,
-    mut slot: pools::Slot,
-) -> std::result::Result<(client::ClientResponse, pools::Slot), upstream::Failure> {
-    let server = slot.server().clone();
-    let backend_server = server.backend_server.clone();
+    mut target: Target,
+) -> std::result::Result<(client::ClientResponse, Target), upstream::Failure> {
     entry.counters.count_attempt(journey.service.service.as_str());
-    let started = event::What::AttemptStarted { backend_server: backend_server.clone() };
+    let started = event::What::AttemptStarted { target: target.name() };
     entry.reporter.report_about(journey.about(), started);
-    let sending = outgoing(request, journey, source);
-    match upstream::send(server.address, sending, journey.left()).await {
+    let sending = outgoing(entry, request, journey, source, &target);
+    match upstream::send(target.address(), sending, journey.left()).await {
         Ok(response) => {
-            slot.set_ending(backend_server::Ending::Answered);
-            Ok((response, slot))
+            target.set_ending(backend_server::Ending::Answered);
+            Ok((response, target))
         }
         Err(failure) => {
-            slot.set_ending(ending_of(failure.fault));
+            target.set_ending(ending_of(failure.fault));
             let ending = format!("{} while {}", failure.fault, failure.state);
-            let ended = event::What::AttemptEnded { backend_server, ending };
+            let ended = event::What::AttemptEnded { target: target.name(), ending };
             entry.reporter.report_about(journey.about(), ended);
             Err(failure)
         }
@@ -415,9 +546,11 @@
 }
 
 fn outgoing(
+    entry: &entry::Entry,
     request: &web::HttpRequest,
     journey: &Journey,
     source: &mut Source,
+    target: &Target,
 ) -> upstream::Request {
     let mut passed = headers::passed_on(request.headers(), journey.key.as_deref());
     let mut add = |name: &'static str, value: String| {
@@ -430,6 +563,12 @@
     if let Some(organisation) = &journey.organisation {
         add(headers::ORGANISATION, organisation.to_string());
     }
+    if let (Target::EntryVm(_), Some(vm)) = (target, &entry.settings.vm) {
+        add(headers::FORWARDED_BY, vm.to_string());
+        add(headers::TIMEOUT_MS, journey.left().as_millis().max(1).to_string());
+        let is_idempotent = journey.repeatability == attempt::Repeatability::Idempotent;
+        add(headers::IDEMPOTENT, is_idempotent.to_string());
+    }
     let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
     upstream::Request {
         method: request.method().clone(),
@@ -457,12 +596,12 @@
     }
 }
 
-/// Passes an answer on; the slot is free when its body has ended.
+/// Passes an answer on; the target is free when its body has ended.
 fn answer(
     entry: &entry::Entry,
     journey: &Journey,
     response: &client::ClientResponse,
-    slot: pools::Slot,
+    target: Target,
     under_way: entry::UnderWay,
 ) -> web::HttpResponse {
     let status = response.status();
@@ -479,7 +618,7 @@
     }
     builder.header(headers::OUTCOME, outcome::Outcome::Answered.to_string());
     builder.header(headers::REQUEST, journey.request.as_str());
-    let on_end = report_attempt(entry, journey, slot, under_way);
+    let on_end = report_attempt(entry, journey, target, under_way);
     let len_bytes = headers::text(response.headers(), header::CONTENT_LENGTH.as_str());
     let len_bytes = len_bytes.and_then(|text| text.parse().ok());
     let body = answer::Answer::new(response.take_payload(), len_bytes, on_end);
@@ -490,19 +629,18 @@
 fn report_attempt(
     entry: &entry::Entry,
     journey: &Journey,
-    slot: pools::Slot,
+    target: Target,
     under_way: entry::UnderWay,
 ) -> answer::OnEnd {
     let reporter = entry.reporter.clone();
     let about = journey.about();
-    let backend_server = slot.server().backend_server.clone();
     Box::new(move |is_whole| {
-        let mut slot = slot;
+        let mut target = target;
         if !is_whole {
-            slot.set_ending(backend_server::Ending::Failed);
+            target.set_ending(backend_server::Ending::Failed);
         }
         let ending = if is_whole { "whole answer" } else { "answer broke off" }.to_owned();
-        reporter.report_about(about, event::What::AttemptEnded { backend_server, ending });
+        reporter.report_about(about, event::What::AttemptEnded { target: target.name(), ending });
         drop(under_way);
     })
 }
--- a/crates/waxwing-entry/src/entry.rs
+++ b/crates/waxwing-entry/src/entry.rs
@@ -9,6 +9,7 @@
 use waxwing_process::metrics;
 use waxwing_process::reporter;
 
+use crate::places;
 use crate::pools;
 use crate::settings;
 
@@ -20,6 +21,8 @@
     pub keeper: sync::Arc<client::Client>,
     /// The backend servers of this machine.
     pub pools: sync::Arc<pools::Pools>,
+    /// Where requests are attempted.
+    pub places: places::Places,
     /// Events of the process.
     pub reporter: reporter::Reporter,
     /// Whether the process was told to end.
--- a/crates/waxwing-entry/src/headers.rs
+++ b/crates/waxwing-entry/src/headers.rs
@@ -24,6 +24,9 @@
 /// The header that tells the backend server whose request it is.
 pub const ORGANISATION: &str = "waxwing-organisation";
 
+/// The header that names the entry VM which passed a request on.
+pub const FORWARDED_BY: &str = "waxwing-forwarded-by";
+
 /// The header with which a backend server says that it did not run a request.
 pub const NOT_RUN: &str = "waxwing-not-run";
 
@@ -43,8 +46,8 @@
 ];
 
 /// Headers of the system that only it may set towards backend servers, sorted.
-const RESERVED: [&str; 7] =
-    [DEADLINE_MS, IDEMPOTENT, KEY, NOT_RUN, ORGANISATION, REQUEST, TIMEOUT_MS];
+const RESERVED: [&str; 8] =
+    [DEADLINE_MS, FORWARDED_BY, IDEMPOTENT, KEY, NOT_RUN, ORGANISATION, REQUEST, TIMEOUT_MS];
 
 /// Returns the value of a header as text.
 pub fn text<'a>(headers: &'a header::HeaderMap, name: &str) -> Option<&'a str> {
--- a/crates/waxwing-entry/src/lib.rs
+++ b/crates/waxwing-entry/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! * [`carry`]: from the caller's request to the answer.
 //! * [`headers`]: what of a caller's headers is used, and what a backend server gets to see.
+//! * [`places`]: whether a request is attempted here or at another entry VM.
 //! * [`pools`]: slots at backend servers, and the requests that wait for them.
 //! * [`upstream`]: one attempt at one backend server.
 //! * [`upload`]: the request's body on its way to the backend server.
@@ -17,6 +18,7 @@
 pub mod carry;
 pub mod entry;
 pub mod headers;
+pub mod places;
 pub mod pools;
 pub mod probe;
 pub mod refusal;
--- a/crates/waxwing-entry/src/main.rs
+++ b/crates/waxwing-entry/src/main.rs
@@ -13,6 +13,7 @@
 use ntex::web;
 use waxwing_entry::carry;
 use waxwing_entry::entry;
+use waxwing_entry::places;
 use waxwing_entry::pools;
 use waxwing_entry::probe;
 use waxwing_entry::settings;
@@ -59,10 +60,12 @@
     ntex::rt::spawn(probe::hand_out(entry.clone()));
     let is_ready = sync::Arc::new(atomic::AtomicBool::new(true));
     serve_admin(&entry, metrics, is_ready.clone())?;
+    let guests = serve_guests(&entry)?;
     let server = serve(&entry)?;
     signal::order_to_end()?.await?;
     is_ready.store(false, atomic::Ordering::Release);
     stop(&entry, &server).await;
+    guests.stop(true).await;
     Ok(())
 }
 
@@ -71,6 +74,7 @@
     let failure_domain = settings.failure_domain.clone().ok_or_eyre("failure_domain is missing")?;
     let keeper_address = settings.keeper_address.ok_or_eyre("keeper_address is missing")?;
     let reporter = reporter::Reporter::new(vm.clone(), event::Role::Entry);
+    let places = places::Places::new(vm.clone(), failure_domain.clone());
     let pools = sync::Arc::new(pools::Pools::new(vm, failure_domain));
     let updated = pools.clone();
     let on_change: client::OnChange = Box::new(move |view| updated.update(view));
@@ -80,6 +84,7 @@
         settings: settings.clone(),
         keeper,
         pools,
+        places,
         reporter,
         is_stopping: atomic::AtomicBool::new(false),
         is_closed: atomic::AtomicBool::new(false),
@@ -130,6 +135,21 @@
     Ok(server.run())
 }
 
+/// Begins to take requests that other entry VMs pass on.
+fn serve_guests(entry: &entry::Shared) -> eyre::Result<ntex::server::Server> {
+    let address = entry.settings.forward_address.ok_or_eyre("forward_address is missing")?;
+    let shared = entry.clone();
+    let server = web::HttpServer::new(async move || {
+        web::App::new().state(shared.clone()).default_service(web::route().to(carry::carry_guest))
+    });
+    let server = server
+        .workers(1)
+        .disable_signals()
+        .bind(address)
+        .wrap_err_with(|| format!("forward_address {address} can't be bound"))?;
+    Ok(server.run())
+}
+
 /// Goes on for as long as callers may still know this machine, then finishes what it has.
 async fn stop(entry: &entry::Shared, server: &ntex::server::Server) {
     entry.reporter.report(event::What::Stopping);
--- a/crates/waxwing-entry/src/pools.rs
+++ b/crates/waxwing-entry/src/pools.rs
@@ -149,6 +149,22 @@
         }
     }
 
+    /// Takes a slot for a request that another machine passed on, if there is one to spare.
+    pub fn acquire_guest(self: &sync::Arc<Self>, service: &id::ServiceId) -> Option<Slot> {
+        let now = clock::now();
+        let lease = self.with(service, |service_pool| match service_pool.queue.is_empty() {
+            true => service_pool.pool.begin_guest(now),
+            false => None,
+        })??;
+        Some(self.slot(service, lease))
+    }
+
+    /// Tells whether any backend server of this machine takes work of the service.
+    pub fn is_usable(&self, service: &id::ServiceId) -> bool {
+        let now = clock::now();
+        self.with(service, |service_pool| service_pool.pool.is_usable(now)).unwrap_or(false)
+    }
+
     /// Wraps a lease so that it is given back when it is dropped.
     pub fn slot(self: &sync::Arc<Self>, service: &id::ServiceId, lease: pool::Lease) -> Slot {
         Slot { pools: self.clone(), service: service.clone(), lease, ending: None }
--- a/crates/waxwing-entry/src/probe.rs
+++ b/crates/waxwing-entry/src/probe.rs
@@ -6,6 +6,7 @@
 use ntex::client;
 use ntex::time as ntex_time;
 use waxwing_machine::backend_server;
+use waxwing_machine::fleet;
 use waxwing_record::record;
 
 use crate::entry;
@@ -32,7 +33,8 @@
             });
         }
         let (in_flight, free_slots) = entry.pools.load();
-        entry.keeper.tell_load(in_flight, free_slots);
+        let shares = entry.places.shares();
+        entry.keeper.tell_load(fleet::Load { in_flight, free_slots, shares });
         ntex_time::sleep(PROBE_INTERVAL).await;
     }
 }
--- a/crates/waxwing-entry/src/refusal.rs
+++ b/crates/waxwing-entry/src/refusal.rs
@@ -54,6 +54,15 @@
     /// Nobody can say whether the organisation has tokens left.
     #[error("the organisation's contract can't be reached from here; use another entry VM")]
     ContractUnreachable,
+    /// The home region can't serve, and no more traffic may move to others yet.
+    #[error("the home region can't serve, and no more traffic may move to others yet")]
+    ShiftCapped,
+    /// No backend server can be reached.
+    #[error("no backend server of this service can be reached from here")]
+    NoBackendServer,
+    /// The machine has no slot to spare for a request that another one passed on.
+    #[error("no slot to spare")]
+    NoSlotToSpare,
     /// Too many requests of the organisation wait already.
     #[error("too many requests of the organisation wait already")]
     QueueFull,
@@ -110,9 +119,13 @@
             }
             Self::BodyTooLarge { .. } => http::StatusCode::PAYLOAD_TOO_LARGE,
             Self::Exhausted { .. } => http::StatusCode::TOO_MANY_REQUESTS,
-            Self::Leaving | Self::NoRecords | Self::ContractUnreachable | Self::QueueFull => {
-                http::StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::Leaving
+            | Self::NoRecords
+            | Self::ContractUnreachable
+            | Self::QueueFull
+            | Self::ShiftCapped
+            | Self::NoBackendServer
+            | Self::NoSlotToSpare => http::StatusCode::SERVICE_UNAVAILABLE,
             Self::Failed { fault, .. } => match fault {
                 attempt::Fault::DeadlinePassed => http::StatusCode::GATEWAY_TIMEOUT,
                 attempt::Fault::NoSlot | attempt::Fault::DeclaredNotRun => {
@@ -123,6 +136,24 @@
         }
     }
 
+    /// Returns the answer to the entry VM that passed the request on.
+    ///
+    /// It says that the request did not run in the way in which backend servers do.
+    pub fn guest_response(&self, request: &id::RequestId) -> web::HttpResponse {
+        let is_not_run = self.outcome() == outcome::Outcome::NotRun;
+        let status = match is_not_run {
+            true => http::StatusCode::SERVICE_UNAVAILABLE,
+            false => self.status(),
+        };
+        let mut builder = web::HttpResponse::build(status);
+        builder.header(headers::OUTCOME, self.outcome().to_string());
+        builder.header(headers::REQUEST, request.as_str());
+        if is_not_run {
+            builder.header(headers::NOT_RUN, "true");
+        }
+        builder.body(format!("{self}\n"))
+    }
+
     /// Returns the answer to the caller.
     pub fn response(&self, request: &id::RequestId) -> web::HttpResponse {
         let mut builder = web::HttpResponse::build(self.status());
--- a/crates/waxwing-entry/src/settings.rs
+++ b/crates/waxwing-entry/src/settings.rs
@@ -23,6 +23,8 @@
     pub failure_domain: Option<id::FailureDomainId>,
     /// Where callers send requests.
     pub listen_address: Option<net::SocketAddr>,
+    /// Where other entry VMs pass requests on to this one.
+    pub forward_address: Option<net::SocketAddr>,
     /// Where operators read health, metrics and events.
     pub admin_address: Option<net::SocketAddr>,
     /// Where this machine's keeper listens.
@@ -46,6 +48,7 @@
             vm: None,
             failure_domain: None,
             listen_address: None,
+            forward_address: None,
             admin_address: None,
             keeper_address: None,
             workers: 2,
@@ -66,6 +69,7 @@
             "is missing; write the failure domain of this machine",
         );
         faults.require(self.listen_address.is_some(), "listen_address", address);
+        faults.require(self.forward_address.is_some(), "forward_address", address);
         faults.require(self.admin_address.is_some(), "admin_address", address);
         faults.require(self.keeper_address.is_some(), "keeper_address", address);
         let workers = "must be between 1 and 64";
--- a/crates/waxwing-entry/src/upstream.rs
+++ b/crates/waxwing-entry/src/upstream.rs
@@ -90,6 +90,15 @@
 fn declared(response: client::ClientResponse) -> Result<client::ClientResponse, Failure> {
     let is_declared = response.status() == http::StatusCode::SERVICE_UNAVAILABLE
         && headers::text(response.headers(), headers::NOT_RUN) == Some("true");
+    let is_unknown = headers::text(response.headers(), headers::OUTCOME) == Some("unknown");
+    if is_unknown {
+        // Another entry VM passes on what it knows of its own attempt.
+        return Err(Failure {
+            state: attempt::State::Sent,
+            fault: attempt::Fault::Disconnected,
+            broken: None,
+        });
+    }
     match is_declared {
         true => Err(Failure {
             state: attempt::State::Answering,
--- a/crates/waxwing-keeper-client/src/client.rs
+++ b/crates/waxwing-keeper-client/src/client.rs
@@ -141,8 +141,8 @@
     }
 
     /// Tells the keeper what this process has to do.
-    pub fn tell_load(&self, in_flight: u32, free_slots: u32) {
-        self.send(&local::ToKeeper::Load { in_flight, free_slots });
+    pub fn tell_load(&self, load: fleet::Load) {
+        self.send(&local::ToKeeper::Load(load));
     }
 
     fn shard(&self, nonce: id::Nonce) -> &Mutex<Shard> {
--- a/crates/waxwing-keeper/src/connections.rs
+++ b/crates/waxwing-keeper/src/connections.rs
@@ -66,10 +66,13 @@
         }
     }
 
-    /// Sends a new view of the machines on all connections.
+    /// Sends a view of the machines on all connections, if it differs from the last one.
     pub fn fleet_changed(&self, reachable: Vec<fleet::Reachable>) {
-        if let Some(encoded) = encode(&local::FromKeeper::Fleet(reachable)) {
-            self.newest.lock().fleet = Some(encoded.clone());
+        let Some(encoded) = encode(&local::FromKeeper::Fleet(reachable)) else {
+            return;
+        };
+        let last = self.newest.lock().fleet.replace(encoded.clone());
+        if last.as_ref() != Some(&encoded) {
             self.broadcast(&encoded);
         }
     }
@@ -179,9 +182,7 @@
 fn handle(keeper: &keeper::Keeper, connection: charges::ConnectionId, message: local::ToKeeper) {
     match message {
         local::ToKeeper::Hello { role } => log::info!("the {role} process has connected"),
-        local::ToKeeper::Load { in_flight, free_slots } => {
-            *keeper.load.lock() = keeper::Load { in_flight, free_slots };
-        }
+        local::ToKeeper::Load(load) => *keeper.load.lock() = load,
         local::ToKeeper::Charge { nonce, organisation, request, wait_ms, stamp } => {
             keeper.reporter.observe(stamp);
             let asker = charges::Asker { connection, nonce, organisation, request };
--- a/crates/waxwing-keeper/src/heartbeats.rs
+++ b/crates/waxwing-keeper/src/heartbeats.rs
@@ -28,12 +28,10 @@
 /// Sends one round of heartbeats.
 pub fn beat(keeper: &keeper::Keeper) {
     let me = keeper.entry_vm();
-    let load = *keeper.load.lock();
     let heartbeat = peer::Heartbeat {
         entry_vm: me.clone(),
         revision: keeper.records.get().revision,
-        in_flight: load.in_flight,
-        free_slots: load.free_slots,
+        load: keeper.load.lock().clone(),
     };
     let targets: Vec<std::net::SocketAddr> = {
         let fleet = keeper.fleet.lock();
@@ -55,8 +53,6 @@
     for vm in before.iter().filter(|vm| reachable.binary_search(vm).is_err()) {
         keeper.reporter.report(event::What::PeerSilent { peer: vm.clone() });
     }
-    if reachable != before {
-        keeper.publish_fleet();
-    }
+    keeper.publish_fleet();
     reachable
 }
--- a/crates/waxwing-keeper/src/keeper.rs
+++ b/crates/waxwing-keeper/src/keeper.rs
@@ -26,15 +26,6 @@
 use crate::records;
 use crate::timer;
 
-/// What the entry process last told about its work.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Load {
-    /// Requests under way.
-    pub in_flight: u32,
-    /// Free slots at backend servers.
-    pub free_slots: u32,
-}
-
 /// What the threads of the keeper share.
 #[derive(Debug)]
 pub struct Keeper {
@@ -61,7 +52,7 @@
     /// What this machine tells about itself.
     pub entry_vm: Mutex<entry_vm::EntryVm>,
     /// What the entry process last told about its work.
-    pub load: Mutex<Load>,
+    pub load: Mutex<fleet::Load>,
     /// Whether the platform's store answered the last call.
     pub store_answers: atomic::AtomicBool,
     /// Datagrams and frames that could not be read.
@@ -220,7 +211,8 @@
         let mut reachable = self.fleet.lock().reachable(clock::now());
         let entry_vm = self.entry_vm();
         if entry_vm.phase == entry_vm::Phase::Live {
-            let me = fleet::Reachable { entry_vm, incarnation: self.me.incarnation };
+            let (incarnation, load) = (self.me.incarnation, self.load.lock().clone());
+            let me = fleet::Reachable { entry_vm, incarnation, load };
             match reachable.binary_search_by(|r| r.entry_vm.vm.cmp(&self.me.vm)) {
                 Ok(at) => reachable[at] = me,
                 Err(at) => reachable.insert(at, me),
--- a/crates/waxwing-keeper/src/peers.rs
+++ b/crates/waxwing-keeper/src/peers.rs
@@ -52,7 +52,8 @@
     let (vm, incarnation) = (from.vm.clone(), from.incarnation);
     let phase_before = keeper.fleet.lock().member(&vm).map(|member| member.entry_vm.phase);
     let phase = heartbeat.entry_vm.phase;
-    let is_new = keeper.fleet.lock().hear(clock::now(), heartbeat.entry_vm, incarnation);
+    let is_new =
+        keeper.fleet.lock().hear(clock::now(), heartbeat.entry_vm, incarnation, heartbeat.load);
     if is_new {
         keeper.reporter.report(event::What::PeerHeard { peer: vm });
     }
--- a/crates/waxwing-keeper/src/settings.rs
+++ b/crates/waxwing-keeper/src/settings.rs
@@ -23,6 +23,8 @@
     pub admin_address: Option<net::SocketAddr>,
     /// Where callers reach this machine's entry process.
     pub entry_address: Option<net::SocketAddr>,
+    /// Where this machine's entry process listens for requests that other entry VMs pass on.
+    pub forward_address: Option<net::SocketAddr>,
     /// Where the platform answers.
     pub platform_address: Option<net::SocketAddr>,
     /// Keepers to ask for records when the platform is out at the start.
@@ -57,6 +59,7 @@
         faults.require(self.local_address.is_some(), "local_address", address);
         faults.require(self.admin_address.is_some(), "admin_address", address);
         faults.require(self.entry_address.is_some(), "entry_address", address);
+        faults.require(self.forward_address.is_some(), "forward_address", address);
         faults.require(self.platform_address.is_some(), "platform_address", address);
         let is_local = self.local_address.is_none_or(|address| address.ip().is_loopback());
         let local = "must be a loopback address, since only this machine's processes use it";
@@ -73,6 +76,7 @@
                 failure_domain: self.failure_domain?,
                 peer_address: self.peer_address?,
                 entry_address: self.entry_address?,
+                forward_address: self.forward_address?,
                 phase: entry_vm::Phase::Live,
             },
             local_address: self.local_address?,
--- a/crates/waxwing-machine/src/backend_server.rs
+++ b/crates/waxwing-machine/src/backend_server.rs
@@ -104,10 +104,14 @@
         u32::try_from(grown).unwrap_or(u32::MAX).clamp(1, self.record.slots.max(1))
     }
 
+    /// Tells whether the server takes new work, by its last report.
+    pub fn is_ready(&self) -> bool {
+        self.report.is_none_or(|report| report.is_ready)
+    }
+
     /// Returns the free slots; none where the server is ejected or says that it is not ready.
     pub fn free_slots(&self, now: units_time::MonoInstant) -> u32 {
-        let is_ready = self.report.is_none_or(|report| report.is_ready);
-        if self.is_ejected(now) || !is_ready {
+        if self.is_ejected(now) || !self.is_ready() {
             return 0;
         }
         self.slots(now).saturating_sub(self.in_flight)
--- a/crates/waxwing-machine/src/entry_vm.rs
+++ b/crates/waxwing-machine/src/entry_vm.rs
@@ -26,6 +26,8 @@
     pub peer_address: net::SocketAddr,
     /// Where its entry process listens for callers.
     pub entry_address: net::SocketAddr,
+    /// Where its entry process listens for requests that other entry VMs pass on.
+    pub forward_address: net::SocketAddr,
     /// Whether it goes on serving.
     pub phase: Phase,
 }
--- a/crates/waxwing-machine/src/fleet.rs
+++ b/crates/waxwing-machine/src/fleet.rs
@@ -38,6 +38,29 @@
     pub was_heard: bool,
     /// Whether the platform's list names it.
     pub is_listed: bool,
+    /// What it last told of its work.
+    pub load: Load,
+}
+
+/// What a machine tells of its work.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests under way.
+    pub in_flight: u32,
+    /// Free slots at its backend servers.
+    pub free_slots: u32,
+    /// The share of each service's traffic that it sends to other regions, sorted by service;
+    /// services without any are left out.
+    pub shares: Vec<Share>,
+}
+
+/// The share of a service's traffic that a machine sends to other regions.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Share {
+    /// The service.
+    pub service: id::ServiceId,
+    /// The share, in thousandths.
+    pub away_permille: u64,
 }
 
 /// A machine that can be reached, as it is told to other processes.
@@ -47,6 +70,8 @@
     pub entry_vm: entry_vm::EntryVm,
     /// The start of its keeper.
     pub incarnation: id::Incarnation,
+    /// What it last told of its work.
+    pub load: Load,
 }
 
 /// All machines that are known, sorted by name.
@@ -70,8 +95,7 @@
         self.members.binary_search_by(|member| member.entry_vm.vm.cmp(vm))
     }
 
-    /// Takes in the platform's list; returns the machines that it does not name any more and
-    /// that are silent, which are forgotten.
+    /// Takes in the platform's list.
     pub fn set_list(&mut self, now: units_time::MonoInstant, list: &[entry_vm::EntryVm]) {
         for member in &mut self.members {
             member.is_listed = false;
@@ -95,6 +119,7 @@
         now: units_time::MonoInstant,
         entry_vm: entry_vm::EntryVm,
         incarnation: id::Incarnation,
+        load: Load,
     ) -> bool {
         let at = match self.find(&entry_vm.vm) {
             Ok(at) => at,
@@ -112,6 +137,7 @@
             heard_at: now,
             was_heard: true,
             is_listed: member.is_listed,
+            load,
         };
         !was_reachable
     }
@@ -122,7 +148,8 @@
         reachable
             .filter_map(|member| {
                 let incarnation = member.incarnation?;
-                Some(Reachable { entry_vm: member.entry_vm.clone(), incarnation })
+                let (entry_vm, load) = (member.entry_vm.clone(), member.load.clone());
+                Some(Reachable { entry_vm, incarnation, load })
             })
             .collect()
     }
@@ -168,7 +195,14 @@
 impl Member {
     fn listed(now: units_time::MonoInstant, entry_vm: &entry_vm::EntryVm) -> Self {
         let entry_vm = entry_vm.clone();
-        Self { entry_vm, incarnation: None, heard_at: now, was_heard: false, is_listed: true }
+        Self {
+            entry_vm,
+            incarnation: None,
+            heard_at: now,
+            was_heard: false,
+            is_listed: true,
+            load: Load::default(),
+        }
     }
 
     fn list(&mut self, listed: &entry_vm::EntryVm) {
--- a/crates/waxwing-machine/src/pool.rs
+++ b/crates/waxwing-machine/src/pool.rs
@@ -17,6 +17,9 @@
 /// The share of a pool that may be ejected at a time, in thousandths.
 const EJECTED_MAX_PERMILLE: usize = 500;
 
+/// The part of all slots that is kept from guests is one in this many.
+const GUEST_RESERVE: u32 = 4;
+
 /// Names a server's place in its pool while a request is at it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Lease {
@@ -89,6 +92,24 @@
         Some(Lease { server: best.record().clone() })
     }
 
+    /// Tells whether any server takes work at all, now or when a slot comes free.
+    pub fn is_usable(&self, now: units_time::MonoInstant) -> bool {
+        self.servers.iter().any(|server| !server.is_ejected(now) && server.is_ready())
+    }
+
+    /// Takes a slot for a request that another machine passed on.
+    ///
+    /// Only free slots beyond a quarter of all are given, and none while this machine's own
+    /// requests wait; so whatever other machines believe, they can't overload this one.
+    pub fn begin_guest(&mut self, now: units_time::MonoInstant) -> Option<Lease> {
+        let all: u32 = self.servers.iter().map(|server| server.slots(now)).sum();
+        let free: u32 = self.servers.iter().map(|server| server.free_slots(now)).sum();
+        match free > all / GUEST_RESERVE {
+            true => self.begin(now, &[]),
+            false => None,
+        }
+    }
+
     /// Tells whether more servers are ejected than may be at a time.
     ///
     /// Each ejected server is then still tried with one request at a time.
--- a/crates/waxwing-protocol/src/local.rs
+++ b/crates/waxwing-protocol/src/local.rs
@@ -33,12 +33,7 @@
         stamp: stamp::Stamp,
     },
     /// What the entry process has to do.
-    Load {
-        /// Requests under way.
-        in_flight: u32,
-        /// Free slots at backend servers.
-        free_slots: u32,
-    },
+    Load(fleet::Load),
 }
 
 /// Why a charge was refused.
--- a/crates/waxwing-protocol/src/peer.rs
+++ b/crates/waxwing-protocol/src/peer.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 use waxwing_contract::message;
 use waxwing_machine::entry_vm;
+use waxwing_machine::fleet;
 use waxwing_timeline::stamp;
 use waxwing_units::id;
 
@@ -42,10 +43,8 @@
     pub entry_vm: entry_vm::EntryVm,
     /// The revision of the records in force on it.
     pub revision: id::Revision,
-    /// Requests that are under way on it.
-    pub in_flight: u32,
-    /// Slots that are free on it.
-    pub free_slots: u32,
+    /// What it has to do.
+    pub load: fleet::Load,
 }
 
 /// The content of a datagram.
--- a/crates/waxwing-session/src/deployment.rs
+++ b/crates/waxwing-session/src/deployment.rs
@@ -102,6 +102,11 @@
         self.address(self.vm_number(vm), MAIN_PORT + 6)
     }
 
+    /// Returns where an entry VM takes requests that others pass on.
+    pub fn forward(&self, vm: &str) -> net::SocketAddr {
+        self.address(self.vm_number(vm), MAIN_PORT + 7)
+    }
+
     /// Returns where an entry VM answers look-ups.
     pub fn lookup(&self, vm: &str) -> net::SocketAddr {
         self.address(self.vm_number(vm), MAIN_PORT + 4)
@@ -188,7 +193,7 @@
             .map(|(vm, domain)| {
                 serde_json::json!({
                     "vm": vm, "failure_domain": domain, "peer_address": self.peer(vm),
-                    "entry_address": self.entry(vm), "phase": "live",
+                    "entry_address": self.entry(vm), "forward_address": self.forward(vm), "phase": "live",
                 })
             })
             .collect();
@@ -225,9 +230,10 @@
         let own = match process {
             "waxwing-keeper" => format!(
                 "peer_address: {}\nlocal_address: 127.0.0.1:0\nentry_address: {}\n\
-                 platform_address: {}\n",
+                 forward_address: {}\nplatform_address: {}\n",
                 self.peer(vm),
                 self.entry(vm),
+                self.forward(vm),
                 self.platform()
             )
             .replace("127.0.0.1:0", &keeper.to_string()),
@@ -235,8 +241,9 @@
                 format!("listen_address: {}\nkeeper_address: {keeper}\n", self.lookup(vm))
             }
             _ => format!(
-                "listen_address: {}\nkeeper_address: {keeper}\nlinger: 500ms\n",
-                self.entry(vm)
+                "listen_address: {}\nforward_address: {}\nkeeper_address: {keeper}\nlinger: 500ms\n",
+                self.entry(vm),
+                self.forward(vm)
             ),
         };
         let text = format!("vm: {vm}\nfailure_domain: {domain}\nadmin_address: {admin}\n{own}");
--- a/crates/waxwing-session/tests/session/main.rs
+++ b/crates/waxwing-session/tests/session/main.rs
@@ -3,5 +3,6 @@
 mod configuration;
 mod failures;
 mod path;
+mod steering;
 mod support;
 mod truth;
--- a/crates/waxwing-timeline/src/event.rs
+++ b/crates/waxwing-timeline/src/event.rs
@@ -78,15 +78,15 @@
     },
     /// The request's organisation was charged.
     Charged,
-    /// An attempt at a backend server began.
+    /// An attempt began.
     AttemptStarted {
-        /// The backend server.
-        backend_server: id::BackendServerId,
+        /// The backend server, or the entry VM that it was passed on to.
+        target: String,
     },
     /// An attempt ended.
     AttemptEnded {
-        /// The backend server.
-        backend_server: id::BackendServerId,
+        /// The backend server, or the entry VM that it was passed on to.
+        target: String,
         /// How it ended.
         ending: String,
     },
@@ -138,11 +138,11 @@
             Self::TokenGranted => f.write_str("token granted"),
             Self::TokenRefused { reason } => write!(f, "token refused: {reason}"),
             Self::Charged => f.write_str("organisation charged"),
-            Self::AttemptStarted { backend_server } => {
-                write!(f, "attempt started: {backend_server}")
+            Self::AttemptStarted { target } => {
+                write!(f, "attempt started: {target}")
             }
-            Self::AttemptEnded { backend_server, ending } => {
-                write!(f, "attempt ended: {backend_server}: {ending}")
+            Self::AttemptEnded { target, ending } => {
+                write!(f, "attempt ended: {target}: {ending}")
             }
             Self::RequestEnded { outcome, status } => {
                 write!(f, "request ended: {outcome}, status {status}")
--- /dev/null
+++ b/crates/waxwing-zone/tests/zone/main.rs
@@ -0,0 +1,4 @@
+//! Failure domains and regions, object by object.
+
+mod shift;
+mod steer;
