feat(lookup): lead callers by the block of addresses that they are in

Adds client-blocks records, the look-up table over them, and measurements of slopes for the size of the next two years: bytes of messages, heartbeats and views against machines, tables against blocks, a holder against outstanding grants.

--- a/crates/waxwing-contract/tests/contract/account.rs
+++ b/crates/waxwing-contract/tests/contract/account.rs
@@ -159,3 +159,75 @@
     account.set_contract(at_ms(3), other_cut);
     assert_eq!(*account.contract(), newer, "the cut stays for a contract's whole life");
 }
+
+/// An account on vm-a that holds the base part and has just asked for the lease of a floor part
+/// of 250 thousandths, and the question's nonce.
+fn leasing() -> (account::Account, id::Nonce) {
+    let spread =
+        contract::Spread::Floors { failure_domains: vec![domain("other")], floor_permille: 250 };
+    let contract = contract::Contract { whole: part(100, 100), spread, ..contract() };
+    let options = options::Options::default();
+    let mut account =
+        account::Account::new(options, peer("vm-a"), domain("home"), contract, at_ms(0));
+    let holders =
+        account::Holders { base: Some(vm("vm-a")), floors: vec![(domain("other"), vm("vm-b"))] };
+    let mut out = borrower::Outbox::default();
+    account.set_holders(at_ms(0), at_ms(0), holders, &mut out);
+    account.tick(at_ms(0), &mut out);
+    let sent = out.outgoing.pop().expect("a question");
+    let message::Body::LeaseAsk { nonce, .. } = sent.message.body else {
+        panic!("not a question: {:?}", sent.message.body);
+    };
+    (account, nonce)
+}
+
+fn lease(nonce: id::Nonce) -> message::Message {
+    message::Message {
+        organisation: contract().organisation,
+        from: peer("vm-b"),
+        answers: Some(id::Incarnation(1)),
+        body: message::Body::LeaseGrant {
+            failure_domain: domain("other"),
+            nonce,
+            lent: part(25, 25),
+        },
+    }
+}
+
+#[test]
+fn a_lease_counts_from_when_it_was_asked_for() {
+    let (mut account, nonce) = leasing();
+    let mut out = borrower::Outbox::default();
+    account.receive(at_ms(700), lease(nonce), &mut out);
+    assert_eq!(account.base_part(), Some(part(100, 100)));
+    let use_ms = options::Options::default().lease_use().as_millis() as u64;
+    account.tick(at_ms(use_ms - 1), &mut out);
+    assert_eq!(account.base_part(), Some(part(100, 100)));
+    account.tick(at_ms(use_ms + 2), &mut out);
+    assert_eq!(account.base_part(), Some(part(75, 75)));
+}
+
+#[test]
+fn a_lowered_contract_lowers_running_leases_too() {
+    let (mut account, nonce) = leasing();
+    account.receive(at_ms(10), lease(nonce), &mut borrower::Outbox::default());
+    let lower = contract::Contract {
+        revision: id::Revision(2),
+        whole: part(4, 4),
+        ..account.contract().clone()
+    };
+    account.set_contract(at_ms(20), lower);
+    assert_eq!(account.base_part(), Some(part(4, 4)));
+}
+
+#[test]
+fn a_new_holder_waits_until_grants_of_its_predecessor_have_expired() {
+    let mut account = account("vm-a");
+    let mut out = borrower::Outbox::default();
+    account.set_holders(at_ms(5), at_ms(4), holders("vm-a"), &mut out);
+    let refused = borrower::Decision::Refused(borrower::Refusal::Unreachable);
+    let early = account.charge(at_ms(600), WAIT, &mut out);
+    assert_eq!(early, borrower::Charge::Decided(refused));
+    let later = account.charge(at_ms(1_000), WAIT, &mut out);
+    assert_eq!(later, borrower::Charge::Decided(borrower::Decision::Admitted));
+}
--- a/crates/waxwing-lookup/src/answer.rs
+++ b/crates/waxwing-lookup/src/answer.rs
@@ -5,6 +5,7 @@
 
 use ntex::web;
 use opentelemetry::metrics as otel_metrics;
+use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use waxwing_keeper_client::client;
 use waxwing_process::reporter;
@@ -12,6 +13,7 @@
 use waxwing_timeline::journal;
 use waxwing_units::id;
 use waxwing_units::time as units_time;
+use waxwing_zone::client_block;
 use waxwing_zone::steer;
 
 /// The header with the name of the request that the look-up is for.
@@ -25,21 +27,60 @@
 
 /// What all workers of the look-up process share.
 pub struct Lookup {
-    /// The failure domain of this machine, which is where its callers are taken to be.
+    /// The failure domain of this machine, where callers that are in no block are taken to be.
     pub failure_domain: id::FailureDomainId,
     /// The connection to the keeper.
     pub keeper: sync::Arc<client::Client>,
+    /// The failure domains nearest to callers' addresses.
+    pub blocks: sync::Arc<Blocks>,
     /// Events of the process.
     pub reporter: reporter::Reporter,
     /// Counts look-ups.
     pub lookups: otel_metrics::Counter<u64>,
 }
 
+/// The failure domains nearest to callers' addresses, replaced as a whole.
+#[derive(Debug, Default)]
+pub struct Blocks {
+    newest: Mutex<Option<BlocksAt>>,
+}
+
+/// A table and the revision of the records that it was built from.
+#[derive(Debug, Clone)]
+struct BlocksAt {
+    revision: id::Revision,
+    table: sync::Arc<client_block::Table>,
+}
+
+impl Blocks {
+    /// Builds the table anew where the records have changed.
+    pub fn update(&self, view: &client::View) {
+        let revision = view.records.revision;
+        let is_new = self.newest.lock().as_ref().is_none_or(|at| at.revision < revision);
+        if !is_new {
+            return;
+        }
+        let blocks = view.records.client_blocks.iter().flat_map(|record| &record.blocks);
+        match client_block::Table::build(blocks) {
+            Ok(table) => {
+                *self.newest.lock() = Some(BlocksAt { revision, table: sync::Arc::new(table) });
+            }
+            Err(error) => log::error!("the client blocks can't be used: {error}"),
+        }
+    }
+
+    fn table(&self) -> Option<sync::Arc<client_block::Table>> {
+        self.newest.lock().as_ref().map(|at| at.table.clone())
+    }
+}
+
 /// What a caller may add to its question.
 #[derive(Debug, Deserialize)]
 pub struct Question {
     /// The failure domain that the caller is nearest to.
     near: Option<id::FailureDomainId>,
+    /// The address of the client that the look-up is for, if it is not the caller's own.
+    client: Option<net::IpAddr>,
 }
 
 /// An entry VM that the caller may use.
@@ -83,8 +124,12 @@
     lookup: web::types::State<sync::Arc<Lookup>>,
 ) -> web::HttpResponse {
     let view = lookup.keeper.view();
-    let caller = request.peer_addr().map(|address| address.ip().to_string()).unwrap_or_default();
-    let failure_domain = question.near.as_ref().unwrap_or(&lookup.failure_domain);
+    let address = question.client.or_else(|| Some(request.peer_addr()?.ip()));
+    let caller = address.map(|address| address.to_string()).unwrap_or_default();
+    let table = lookup.blocks.table();
+    let by_block = || table.as_ref()?.nearest(address?);
+    let failure_domain = question.near.as_ref().or_else(by_block);
+    let failure_domain = failure_domain.unwrap_or(&lookup.failure_domain);
     let origin = steer::Origin { failure_domain, caller: &caller };
     let vms = steer::order(&view.records, &view.reachable, origin, VMS_MAX);
     lookup.lookups.add(1, &[]);
--- a/crates/waxwing-lookup/src/main.rs
+++ b/crates/waxwing-lookup/src/main.rs
@@ -61,14 +61,16 @@
     let keeper_address = settings.keeper_address.ok_or_eyre("keeper_address is missing")?;
     let reporter = reporter::Reporter::new(vm, event::Role::Lookup);
     let role = event::Role::Lookup;
-    let on_change: client::OnChange = Box::new(|_| ());
+    let blocks = sync::Arc::new(answer::Blocks::default());
+    let updated = blocks.clone();
+    let on_change: client::OnChange = Box::new(move |view| updated.update(view));
     let keeper = client::Client::start(keeper_address, role, reporter.clone(), on_change)?;
     let lookups = metrics
         .meter()
         .u64_counter("waxwing_lookups")
         .with_description("Look-ups that were answered")
         .build();
-    Ok(sync::Arc::new(answer::Lookup { failure_domain, keeper, reporter, lookups }))
+    Ok(sync::Arc::new(answer::Lookup { failure_domain, keeper, blocks, reporter, lookups }))
 }
 
 fn serve_admin(
--- a/crates/waxwing-measure/src/main.rs
+++ b/crates/waxwing-measure/src/main.rs
@@ -4,6 +4,7 @@
 
 use clap::{Parser, Subcommand};
 use waxwing_contract::options;
+use waxwing_measure::capacity;
 use waxwing_measure::contract;
 use waxwing_measure::trace;
 
@@ -30,6 +31,14 @@
         #[arg(long)]
         debt_ms: Option<u64>,
     },
+    /// Bytes of each message between keepers.
+    Messages,
+    /// Heartbeats and the view of the machines, against the number of machines.
+    Fleet,
+    /// Client blocks, against their number.
+    Blocks,
+    /// A holder's answers, against the grants that are outstanding.
+    Holder,
 }
 
 fn main() {
@@ -39,6 +48,56 @@
             let debt_max = debt_ms.map_or(defaults.debt_max, time::Duration::from_millis);
             measure_contract(options::Options { debt_max, ..defaults }, span_s, seeds);
         }
+        What::Messages => measure_messages(),
+        What::Fleet => measure_fleet(),
+        What::Blocks => measure_blocks(),
+        What::Holder => measure_holder(),
+    }
+}
+
+fn measure_messages() {
+    println!("{:22} {:>6}", "message", "bytes");
+    for size in capacity::message_sizes() {
+        println!("{:22} {:>6}", size.message, size.len_bytes);
+    }
+}
+
+fn measure_fleet() {
+    println!("  VMs  targets  choose us  hear us  view bytes  view us");
+    for vms in [7, 50, 250, 950, 1_900] {
+        let capacity::FleetCost { targets, choose_us, hear_us, view_bytes, view_us, .. } =
+            capacity::fleet_cost(vms);
+        println!(
+            "{vms:>5} {targets:>8} {choose_us:>10.1} {hear_us:>8.2} {view_bytes:>11} {view_us:>8.1}"
+        );
+    }
+}
+
+fn measure_blocks() {
+    println!(
+        "   blocks    ranges   table MB  build ms  million look-ups/s  JSON MB  copy MB  read ms"
+    );
+    for blocks in [1_000, 10_000, 100_000, 1_100_000, 2_200_000] {
+        let cost = capacity::blocks_cost(blocks);
+        println!(
+            "{:>9} {:>9} {:>10.2} {:>9.1} {:>19.1} {:>8.2} {:>8.2} {:>8.1}",
+            cost.blocks,
+            cost.ranges,
+            cost.table_bytes as f64 / 1e6,
+            cost.build_ms,
+            cost.lookups_per_s / 1e6,
+            cost.json_bytes as f64 / 1e6,
+            cost.copy_bytes as f64 / 1e6,
+            cost.read_ms,
+        );
+    }
+}
+
+fn measure_holder() {
+    println!("outstanding   ask and settle us");
+    for outstanding in [0, 10, 100, 1_000, 10_000] {
+        let cost = capacity::holder_cost(outstanding);
+        println!("{outstanding:>11} {:>19.3}", cost.ask_us);
     }
 }
 
--- a/crates/waxwing-record/src/check.rs
+++ b/crates/waxwing-record/src/check.rs
@@ -27,6 +27,7 @@
     check_organisations(snapshot, &mut faults);
     check_keys(snapshot, &mut faults);
     check_backend_servers(snapshot, &mut faults);
+    check_client_blocks(snapshot, &mut faults);
     faults
 }
 
@@ -155,3 +156,20 @@
         }
     }
 }
+
+fn check_client_blocks(snapshot: &snapshot::Snapshot, faults: &mut Vec<Fault>) {
+    let domains = snapshot.failure_domains();
+    for record in &snapshot.client_blocks {
+        let mut missing: Vec<&id::FailureDomainId> = record
+            .blocks
+            .iter()
+            .map(|block| &block.failure_domain)
+            .filter(|domain| domains.binary_search(domain).is_err())
+            .collect();
+        missing.dedup();
+        for domain in missing {
+            let what = format!("failure domain {domain} is in no region record");
+            fault(faults, record::Kind::ClientBlocks, record.name.as_str(), what);
+        }
+    }
+}
--- a/crates/waxwing-record/src/record.rs
+++ b/crates/waxwing-record/src/record.rs
@@ -9,6 +9,7 @@
 use waxwing_contract::contract;
 use waxwing_units::digest;
 use waxwing_units::id;
+use waxwing_units::prefix;
 use waxwing_units::rate;
 use waxwing_units::size;
 use waxwing_units::time as units_time;
@@ -30,22 +31,26 @@
     BackendServer,
     /// Takes something out of use for a while.
     Drain,
+    /// Blocks of callers' addresses and the failure domains nearest to them.
+    ClientBlocks,
 }
 
 /// All kinds with their names, in the order in which records are written.
-pub const KINDS: [(Kind, &str); 6] = [
+pub const KINDS: [(Kind, &str); 7] = [
     (Kind::Region, "region"),
     (Kind::Service, "service"),
     (Kind::Organisation, "organisation"),
     (Kind::Key, "key"),
     (Kind::BackendServer, "backend-server"),
     (Kind::Drain, "drain"),
+    (Kind::ClientBlocks, "client-blocks"),
 ];
 
 /// Tells that a text names no kind of record.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error(
-    "{text:?} is no kind of record; write region, service, organisation, key, backend-server or drain"
+    "{text:?} is no kind of record; write region, service, organisation, key, backend-server, drain or \
+     client-blocks"
 )]
 pub struct KindError {
     /// The text that was read.
@@ -224,6 +229,24 @@
     pub target: DrainTarget,
 }
 
+/// A block of callers' addresses and the failure domain nearest to them.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClientBlock {
+    /// The block.
+    pub prefix: prefix::Prefix,
+    /// The failure domain.
+    pub failure_domain: id::FailureDomainId,
+}
+
+/// Blocks of callers' addresses; large sets are cut into several records.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClientBlocks {
+    /// The record's name.
+    pub name: id::RecordName,
+    /// The blocks.
+    pub blocks: Vec<ClientBlock>,
+}
+
 /// A record in its newest form.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Record {
@@ -239,6 +262,8 @@
     BackendServer(BackendServer),
     /// A drain.
     Drain(Drain),
+    /// Blocks of callers' addresses.
+    ClientBlocks(ClientBlocks),
 }
 
 impl Record {
@@ -251,6 +276,7 @@
             Self::Key(_) => Kind::Key,
             Self::BackendServer(_) => Kind::BackendServer,
             Self::Drain(_) => Kind::Drain,
+            Self::ClientBlocks(_) => Kind::ClientBlocks,
         }
     }
 }
--- a/crates/waxwing-record/src/schema.rs
+++ b/crates/waxwing-record/src/schema.rs
@@ -5,6 +5,7 @@
 //! | organisation | all of the contract in the home failure domain | floor parts besides |
 //! | other kinds | the only one | |
 
+use std::collections::BTreeMap;
 use std::net;
 
 use serde::Deserialize;
@@ -14,6 +15,7 @@
 use waxwing_contract::contract;
 use waxwing_units::digest;
 use waxwing_units::id;
+use waxwing_units::prefix;
 use waxwing_units::rate;
 use waxwing_units::size;
 use waxwing_units::time as units_time;
@@ -160,6 +162,13 @@
     failure_domain: Option<id::FailureDomainId>,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ClientBlocksV1 {
+    /// Blocks by the failure domain that is nearest to them.
+    nearest: BTreeMap<id::FailureDomainId, Vec<prefix::Prefix>>,
+}
+
 /// Reads a record of any known schema version.
 ///
 /// # Errors
@@ -203,6 +212,9 @@
             record::Record::BackendServer(backend_server(name, typed(fields)?)?)
         }
         (record::Kind::Drain, _) => record::Record::Drain(drain(name, typed(fields)?)?),
+        (record::Kind::ClientBlocks, _) => {
+            record::Record::ClientBlocks(client_blocks(name, typed(fields)?))
+        }
     })
 }
 
@@ -270,6 +282,17 @@
     Ok(record::BackendServer { backend_server, service, failure_domain, address, slots })
 }
 
+fn client_blocks(name: &id::RecordName, fields: ClientBlocksV1) -> record::ClientBlocks {
+    let of = |(failure_domain, prefixes): (id::FailureDomainId, Vec<prefix::Prefix>)| {
+        prefixes.into_iter().map(move |prefix| record::ClientBlock {
+            prefix,
+            failure_domain: failure_domain.clone(),
+        })
+    };
+    let blocks = fields.nearest.into_iter().flat_map(of).collect();
+    record::ClientBlocks { name: name.clone(), blocks }
+}
+
 fn drain(name: &id::RecordName, fields: DrainV1) -> Result<record::Drain> {
     let target = match (fields.backend_server, fields.entry_vm, fields.failure_domain) {
         (Some(server), None, None) => record::DrainTarget::BackendServer(server),
--- a/crates/waxwing-record/src/snapshot.rs
+++ b/crates/waxwing-record/src/snapshot.rs
@@ -43,6 +43,8 @@
     pub backend_servers: Vec<record::BackendServer>,
     /// What is drained, sorted.
     pub drained: Vec<record::DrainTarget>,
+    /// Blocks of callers' addresses, by record.
+    pub client_blocks: Vec<record::ClientBlocks>,
     /// Stored values that can't be read by this release.
     pub unreadable: Vec<Unreadable>,
 }
@@ -84,6 +86,7 @@
             record::Record::Key(key) => self.keys.push(key),
             record::Record::BackendServer(server) => self.backend_servers.push(server),
             record::Record::Drain(drain) => self.drained.push(drain.target),
+            record::Record::ClientBlocks(blocks) => self.client_blocks.push(blocks),
         }
     }
 
@@ -94,6 +97,7 @@
             .sort_by(|a, b| a.organisation.organisation.cmp(&b.organisation.organisation));
         self.keys.sort_by_key(|key| key.digest);
         self.backend_servers.sort_by(|a, b| a.backend_server.cmp(&b.backend_server));
+        self.client_blocks.sort_by(|a, b| a.name.cmp(&b.name));
         self.drained.sort();
         self.drained.dedup();
     }
--- a/crates/waxwing-units/src/lib.rs
+++ b/crates/waxwing-units/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every other crate of the workspace builds on these types:
 //!
 //! * [`id`]: names of the objects of the world, checked when they are read.
+//! * [`prefix`]: blocks of addresses.
 //! * [`rate`]: token rates and token amounts of a contract.
 //! * [`size`]: sizes in bytes.
 //! * [`time`]: instants of a machine's own clock and spans in milliseconds.
@@ -11,6 +12,7 @@
 
 pub mod digest;
 pub mod id;
+pub mod prefix;
 pub mod rate;
 pub mod rendezvous;
 pub mod size;
