perf: find grants by binary search and send heartbeats by budget

Cause: a holder looked through all outstanding grants at each question, and heartbeats went to up to 48 machines every 500 ms whatever the fleet's size.

Change: grants are sorted by borrower and nonce, their sum is kept, and expiry is looked for only when the first one is due. A machine spaces its heartbeats so that they take 1,200 bytes a second at most and tells the interval with each; four missed ones make it unreachable.

Ruled out: a hash map for grants (sorted vectors are the house's habit and cheap enough), and fewer targets (each failure domain must stay heard).

Heartbeats at 950 machines: 48 of 130 bytes every 500 ms, 12.5 KB/s, before; every 5.2 s, 1.2 KB/s, after. At seven machines: every 650 ms.

--- a/crates/waxwing-contract/src/holder.rs
+++ b/crates/waxwing-contract/src/holder.rs
@@ -11,6 +11,9 @@
 use crate::message;
 use crate::options;
 
+/// Later than any instant at which something happens.
+const NEVER: units_time::MonoInstant = units_time::MonoInstant(u64::MAX);
+
 /// A grant that is neither settled nor expired.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Outstanding {
@@ -72,7 +75,10 @@
     /// full, since a central bucket would not have been emptied by the start of a machine.
     ideal: bucket::Bucket,
     quiet_until: units_time::MonoInstant,
+    /// Sorted by borrower and nonce.
     outstanding: Vec<Outstanding>,
+    outstanding_sum: rate::Tokens,
+    first_expiry: units_time::MonoInstant,
     leases: Vec<Lease>,
 }
 
@@ -92,6 +98,8 @@
             ideal: bucket::Bucket::full(quiet_until, own.burst_tokens),
             quiet_until,
             outstanding: Vec::new(),
+            outstanding_sum: rate::Tokens(0),
+            first_expiry: NEVER,
             leases: Vec::new(),
         }
     }
@@ -158,13 +166,17 @@
     pub fn advance(&mut self, now: units_time::MonoInstant) {
         self.leases.retain(|lease| lease.counts_until > now);
         let part = self.part();
-        let room = part.burst_tokens.minus(self.outstanding_tokens().nano());
+        let room = part.burst_tokens.minus(self.outstanding_sum.nano());
         self.bucket.refill(now, part.rate_per_second, room);
-        self.outstanding.retain(|grant| grant.expires_at > now);
+        if now >= self.first_expiry {
+            self.expire(now);
+        }
     }
 
-    fn outstanding_tokens(&self) -> rate::Tokens {
-        rate::Tokens(self.outstanding.iter().map(|grant| grant.tokens.0).sum())
+    fn expire(&mut self, now: units_time::MonoInstant) {
+        self.outstanding.retain(|grant| grant.expires_at > now);
+        self.outstanding_sum = rate::Tokens(self.outstanding.iter().map(|g| g.tokens.0).sum());
+        self.first_expiry = self.outstanding.iter().map(|g| g.expires_at).min().unwrap_or(NEVER);
     }
 
     /// Answers a question for tokens.
@@ -179,15 +191,18 @@
             return Answer::Granted { tokens: rate::Tokens(0), start_after: time::Duration::ZERO };
         }
         match self.find(&ask.borrower, ask.nonce) {
-            Some(grant) => {
+            Ok(at) => {
+                let grant = &self.outstanding[at];
                 Answer::Granted { tokens: grant.tokens, start_after: grant.start_at.since(now) }
             }
-            None => self.grant(now, ask),
+            Err(at) => self.grant(now, ask, at),
         }
     }
 
-    fn find(&self, borrower: &message::Peer, nonce: id::Nonce) -> Option<&Outstanding> {
-        self.outstanding.iter().find(|grant| grant.nonce == nonce && grant.borrower == *borrower)
+    /// Returns the place of a grant, or where it would be.
+    fn find(&self, borrower: &message::Peer, nonce: id::Nonce) -> Result<usize, usize> {
+        let wanted = (borrower, nonce);
+        self.outstanding.binary_search_by(|grant| (&grant.borrower, grant.nonce).cmp(&wanted))
     }
 
     /// Takes a request's tokens from the ideal bucket, at the time when it was made; returns
@@ -208,13 +223,13 @@
         left >= self.ideal.level()
     }
 
-    fn grant(&mut self, now: units_time::MonoInstant, ask: &Ask) -> Answer {
+    fn grant(&mut self, now: units_time::MonoInstant, ask: &Ask, at: usize) -> Answer {
         let part = self.part();
         let is_due = self.is_due(now, ask);
         let left = self.bucket.level().minus(ask.needed.nano());
         let owed = rate::NanoTokens::ZERO.minus(left);
         let start_after = units_time::until_surely_passed(part.rate_per_second.span_of(owed));
-        let outstanding = self.outstanding_tokens().nano().plus(ask.needed.nano());
+        let outstanding = self.outstanding_sum.nano().plus(ask.needed.nano());
         let promised_in_time = owed.0 <= 0 || start_after <= ask.wait.min(self.options.debt_max);
         let is_kept_for_others = !is_due && !self.has_surplus(left);
         if outstanding > part.burst_tokens || !promised_in_time || is_kept_for_others {
@@ -228,13 +243,12 @@
             return Answer::Denied(self.exhausted(time::Duration::ZERO));
         }
         self.bucket.take(tokens.nano());
-        self.outstanding.push(Outstanding {
-            borrower: ask.borrower.clone(),
-            nonce: ask.nonce,
-            tokens,
-            start_at: now.after(start_after),
-            expires_at: now.after(self.options.grant_hold()),
-        });
+        let expires_at = now.after(self.options.grant_hold());
+        self.first_expiry = self.first_expiry.min(expires_at);
+        self.outstanding_sum.0 += tokens.0;
+        let (borrower, start_at) = (ask.borrower.clone(), now.after(start_after));
+        let grant = Outstanding { borrower, nonce: ask.nonce, tokens, start_at, expires_at };
+        self.outstanding.insert(at, grant);
         Answer::Granted { tokens, start_after }
     }
 
@@ -263,11 +277,11 @@
         unspent: rate::Tokens,
     ) {
         self.advance(now);
-        let is_it = |grant: &Outstanding| grant.nonce == nonce && grant.borrower == *borrower;
-        let Some(at) = self.outstanding.iter().position(is_it) else {
+        let Ok(at) = self.find(borrower, nonce) else {
             return;
         };
-        let grant = self.outstanding.swap_remove(at);
+        let grant = self.outstanding.remove(at);
+        self.outstanding_sum.0 -= grant.tokens.0;
         let unspent = grant.tokens.min(unspent);
         self.bucket.put_back(unspent.nano());
         self.ideal.put_back(unspent.nano());
--- a/crates/waxwing-keeper/src/peers.rs
+++ b/crates/waxwing-keeper/src/peers.rs
@@ -1,6 +1,7 @@
 //! Receives datagrams of other keepers.
 
 use waxwing_contract::accounts;
+use waxwing_machine::fleet;
 use waxwing_process::clock;
 use waxwing_protocol::peer;
 use waxwing_timeline::event;
@@ -43,7 +44,7 @@
 
 fn hear(
     keeper: &keeper::Keeper,
-    heartbeat: peer::Heartbeat,
+    heartbeat: fleet::Heartbeat,
     from: &waxwing_contract::message::Peer,
 ) {
     if heartbeat.entry_vm.vm != from.vm || from.vm == keeper.me.vm {
@@ -51,14 +52,13 @@
     }
     let (vm, incarnation) = (from.vm.clone(), from.incarnation);
     let phase_before = keeper.fleet.lock().member(&vm).map(|member| member.entry_vm.phase);
-    let phase = heartbeat.entry_vm.phase;
-    let is_new =
-        keeper.fleet.lock().hear(clock::now(), heartbeat.entry_vm, incarnation, heartbeat.load);
+    let (phase, revision) = (heartbeat.entry_vm.phase, heartbeat.revision);
+    let is_new = keeper.fleet.lock().hear(clock::now(), heartbeat, incarnation);
     if is_new {
         keeper.reporter.report(event::What::PeerHeard { peer: vm });
     }
     if is_new || phase_before != Some(phase) {
         keeper.publish_fleet();
     }
-    keeper.heard_revisions.note(from, heartbeat.revision);
+    keeper.heard_revisions.note(from, revision);
 }
--- a/crates/waxwing-machine/src/fleet.rs
+++ b/crates/waxwing-machine/src/fleet.rs
@@ -13,11 +13,24 @@
 
 use crate::entry_vm;
 
-/// How often a machine sends heartbeats.
-pub const HEARTBEAT_INTERVAL: time::Duration = time::Duration::from_millis(500);
+/// How often a machine sends heartbeats, at most.
+pub const HEARTBEAT_INTERVAL_MIN: time::Duration = time::Duration::from_millis(500);
 
-/// How long a machine may be silent and still count as reachable.
-pub const SILENCE_MAX: time::Duration = time::Duration::from_millis(2_000);
+/// Bytes a second that a machine's heartbeats may take.
+const HEARTBEATS_MAX_BYTES_PER_S: u64 = 1_200;
+
+/// Bytes of a heartbeat on the wire, with the headers of IP and UDP.
+const HEARTBEAT_LEN_BYTES: u64 = 130;
+
+/// Heartbeats that may be missed in a row before a machine counts as unreachable.
+pub const MISSED_MAX: u32 = 4;
+
+/// Returns how often heartbeats are sent to a number of machines.
+pub fn heartbeat_interval(targets: usize) -> time::Duration {
+    let round_bytes = HEARTBEAT_LEN_BYTES * targets as u64;
+    let interval_ms = round_bytes * 1_000 / HEARTBEATS_MAX_BYTES_PER_S;
+    time::Duration::from_millis(interval_ms).max(HEARTBEAT_INTERVAL_MIN)
+}
 
 /// Machines of the own failure domain that a heartbeat goes to, at most.
 pub const NEAR_TARGETS_MAX: usize = 8;
@@ -38,10 +51,25 @@
     pub was_heard: bool,
     /// Whether the platform's list names it.
     pub is_listed: bool,
+    /// How often it sends heartbeats, as it told.
+    pub interval: time::Duration,
     /// What it last told of its work.
     pub load: Load,
 }
 
+/// What a machine tells about itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The machine.
+    pub entry_vm: entry_vm::EntryVm,
+    /// The revision of the records in force on it.
+    pub revision: id::Revision,
+    /// How long until its next heartbeat.
+    pub interval_ms: units_time::Millis,
+    /// What it has to do.
+    pub load: Load,
+}
+
 /// What a machine tells of its work.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
@@ -117,10 +145,10 @@
     pub fn hear(
         &mut self,
         now: units_time::MonoInstant,
-        entry_vm: entry_vm::EntryVm,
+        heartbeat: Heartbeat,
         incarnation: id::Incarnation,
-        load: Load,
     ) -> bool {
+        let Heartbeat { entry_vm, interval_ms, load, .. } = heartbeat;
         let at = match self.find(&entry_vm.vm) {
             Ok(at) => at,
             Err(at) => {
@@ -137,6 +165,7 @@
             heard_at: now,
             was_heard: true,
             is_listed: member.is_listed,
+            interval: interval_ms.duration(),
             load,
         };
         !was_reachable
@@ -201,6 +230,7 @@
             heard_at: now,
             was_heard: false,
             is_listed: true,
+            interval: HEARTBEAT_INTERVAL_MIN,
             load: Load::default(),
         }
     }
@@ -214,6 +244,6 @@
 
     /// Tells whether the machine was heard lately.
     pub fn is_reachable(&self, now: units_time::MonoInstant) -> bool {
-        self.was_heard && now.since(self.heard_at) <= SILENCE_MAX
+        self.was_heard && now.since(self.heard_at) <= self.interval * MISSED_MAX
     }
 }
--- a/crates/waxwing-machine/tests/machine/fleet.rs
+++ b/crates/waxwing-machine/tests/machine/fleet.rs
@@ -5,6 +5,7 @@
 use waxwing_machine::entry_vm;
 use waxwing_machine::fleet;
 use waxwing_units::id;
+use waxwing_units::time as units_time;
 
 use crate::backend_server::at_ms;
 
@@ -19,11 +20,29 @@
     }
 }
 
+fn heartbeat(entry_vm: entry_vm::EntryVm) -> fleet::Heartbeat {
+    fleet::Heartbeat {
+        entry_vm,
+        revision: id::Revision(1),
+        interval_ms: units_time::Millis(500),
+        load: fleet::Load::default(),
+    }
+}
+
+#[test]
+fn heartbeats_stay_within_their_bytes() {
+    let cases = [(0, 500), (4, 500), (6, 650), (48, 5_200)];
+    for (targets, interval_ms) in cases {
+        let interval = fleet::heartbeat_interval(targets);
+        assert_eq!(interval, time::Duration::from_millis(interval_ms), "{targets} machines");
+    }
+}
+
 #[test]
 fn the_list_alone_makes_nobody_reachable_and_its_lag_hides_nobody() {
     let mut fleet = fleet::Fleet::default();
     fleet.set_list(at_ms(0), &[entry_vm("dead", "d")]);
-    fleet.hear(at_ms(0), entry_vm("new", "d"), id::Incarnation(1), fleet::Load::default());
+    fleet.hear(at_ms(0), heartbeat(entry_vm("new", "d")), id::Incarnation(1));
     let reachable = fleet.reachable(at_ms(100));
     assert_eq!(reachable.len(), 1);
     assert_eq!(reachable[0].entry_vm.vm.as_str(), "new");
@@ -32,27 +51,18 @@
 #[test]
 fn silence_makes_unreachable_and_a_word_makes_reachable_again() {
     let mut fleet = fleet::Fleet::default();
-    assert!(
-        fleet.hear(at_ms(0), entry_vm("a", "d"), id::Incarnation(1), fleet::Load::default()),
-        "new"
-    );
-    assert!(
-        !fleet.hear(at_ms(500), entry_vm("a", "d"), id::Incarnation(1), fleet::Load::default()),
-        "known"
-    );
+    assert!(fleet.hear(at_ms(0), heartbeat(entry_vm("a", "d")), id::Incarnation(1)), "new");
+    assert!(!fleet.hear(at_ms(500), heartbeat(entry_vm("a", "d")), id::Incarnation(1)), "known");
     assert_eq!(fleet.reachable(at_ms(2_500)).len(), 1);
     assert_eq!(fleet.reachable(at_ms(2_501)).len(), 0);
-    assert!(
-        fleet.hear(at_ms(9_000), entry_vm("a", "d"), id::Incarnation(1), fleet::Load::default()),
-        "back"
-    );
+    assert!(fleet.hear(at_ms(9_000), heartbeat(entry_vm("a", "d")), id::Incarnation(1)), "back");
 }
 
 #[test]
 fn what_a_machine_says_of_itself_goes_before_the_list() {
     let mut fleet = fleet::Fleet::default();
     let leaving = entry_vm::EntryVm { phase: entry_vm::Phase::Leaving, ..entry_vm("a", "d") };
-    fleet.hear(at_ms(0), leaving, id::Incarnation(1), fleet::Load::default());
+    fleet.hear(at_ms(0), heartbeat(leaving), id::Incarnation(1));
     fleet.set_list(at_ms(1), &[entry_vm("a", "d")]);
     let member = fleet.member(&"a".parse().expect("a valid name")).expect("known");
     assert_eq!(member.entry_vm.phase, entry_vm::Phase::Leaving);
--- a/crates/waxwing-measure/src/capacity.rs
+++ b/crates/waxwing-measure/src/capacity.rs
@@ -50,6 +50,15 @@
     }
 }
 
+fn heartbeat_of(vm: &entry_vm::EntryVm) -> fleet::Heartbeat {
+    fleet::Heartbeat {
+        entry_vm: vm.clone(),
+        revision: id::Revision(1),
+        interval_ms: units_time::Millis(500),
+        load: fleet::Load::default(),
+    }
+}
+
 /// A message and the bytes that it takes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct MessageSize {
@@ -92,9 +101,10 @@
             service: name(&format!("service-{number}")),
             away_permille: 100,
         };
-        peer::Body::Heartbeat(peer::Heartbeat {
+        peer::Body::Heartbeat(fleet::Heartbeat {
             entry_vm: entry_vm_of(1),
             revision: id::Revision(1_000_000),
+            interval_ms: units_time::Millis(5_200),
             load: fleet::Load {
                 in_flight: 1_000,
                 free_slots: 1_000,
@@ -152,7 +162,7 @@
     let all: Vec<entry_vm::EntryVm> = (0..vms).map(entry_vm_of).collect();
     fleet.set_list(now, &all);
     for vm in &all {
-        fleet.hear(now, vm.clone(), id::Incarnation(1), fleet::Load::default());
+        fleet.hear(now, heartbeat_of(vm), id::Incarnation(1));
     }
     let rounds = 200;
     let choose_us = mean_us(rounds, || fleet.heartbeat_targets(&all[0]).len());
@@ -160,7 +170,7 @@
     let mut next = 0;
     let hear_us = mean_us(rounds * 10, || {
         next = (next + 1) % vms;
-        fleet.hear(now, all[next].clone(), id::Incarnation(1), fleet::Load::default())
+        fleet.hear(now, heartbeat_of(&all[next]), id::Incarnation(1))
     });
     let view = || frame::encode(&local::FromKeeper::Fleet(fleet.reachable(now)));
     let view_us = mean_us(rounds, &view);
--- a/crates/waxwing-protocol/src/peer.rs
+++ b/crates/waxwing-protocol/src/peer.rs
@@ -2,10 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 use waxwing_contract::message;
-use waxwing_machine::entry_vm;
 use waxwing_machine::fleet;
 use waxwing_timeline::stamp;
-use waxwing_units::id;
 
 /// The version of the datagrams.
 pub const VERSION: u8 = 1;
@@ -36,22 +34,11 @@
     Encode(postcard::Error),
 }
 
-/// What a machine tells the others about itself.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Heartbeat {
-    /// The machine.
-    pub entry_vm: entry_vm::EntryVm,
-    /// The revision of the records in force on it.
-    pub revision: id::Revision,
-    /// What it has to do.
-    pub load: fleet::Load,
-}
-
 /// The content of a datagram.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Body {
     /// A heartbeat.
-    Heartbeat(Heartbeat),
+    Heartbeat(fleet::Heartbeat),
     /// A message about an organisation's contract.
     Contract(message::Message),
 }
