--- /dev/null
+++ b/crates/waxwing-cli/tests/commit.rs
@@ -0,0 +1,132 @@
+//! What operators are told of their changes, against a store that fails on command.
+
+use std::cell::RefCell;
+use std::time;
+
+use serde_json::json;
+use waxwing_cli::commit;
+use waxwing_cli::plan;
+use waxwing_platform::store;
+use waxwing_record::document;
+use waxwing_record::record;
+use waxwing_units::id;
+
+/// What happens to a write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    None,
+    /// It never reaches the store.
+    Unreachable,
+    /// It takes effect and the answer is lost.
+    LostAnswer,
+    /// It takes effect, the answer is lost, and another operator changes the record again.
+    LostAnswerThenChanged,
+    /// It does not take effect and nothing is heard.
+    LostWrite,
+    /// Another operator changes the record first.
+    Race,
+}
+
+/// A store of one record that fails on command.
+struct FakeStore {
+    fault: Fault,
+    entry: RefCell<Option<store::Entry>>,
+}
+
+impl FakeStore {
+    fn put(&self, write: &store::Write, revision: u64) {
+        *self.entry.borrow_mut() = write.value.clone().map(|value| store::Entry {
+            key: write.key.clone(),
+            value,
+            revision: id::Revision(revision),
+        });
+    }
+
+    fn by_another(&self, key: &str, revision: u64) {
+        let value = Some(json!({"operation": 999, "record": {}}));
+        self.put(&store::Write { key: key.to_owned(), value, expected: id::Revision(0) }, revision);
+    }
+}
+
+impl store::Store for FakeStore {
+    async fn list(&self, _: &str) -> store::Result<store::Listing> {
+        let entries = self.entry.borrow().iter().cloned().collect();
+        Ok(store::Listing { revision: id::Revision(50), entries })
+    }
+
+    async fn write(&self, write: &store::Write) -> store::Result<store::Written> {
+        let lost = Err(store::Error::NoAnswer("told to".to_owned()));
+        match self.fault {
+            Fault::None => {
+                self.put(write, 11);
+                Ok(store::Written::At(id::Revision(11)))
+            }
+            Fault::Unreachable => Err(store::Error::Unreachable("told to".to_owned())),
+            Fault::LostAnswer => {
+                self.put(write, 11);
+                lost
+            }
+            Fault::LostAnswerThenChanged => {
+                self.put(write, 11);
+                self.by_another(&write.key, 12);
+                lost
+            }
+            Fault::LostWrite => lost,
+            Fault::Race => {
+                self.by_another(&write.key, 12);
+                Ok(store::Written::Conflict { current: id::Revision(12) })
+            }
+        }
+    }
+
+    async fn watch(&self, _: id::Revision, _: time::Duration) -> store::Result<id::Revision> {
+        Err(store::Error::Unreachable("never watched here".to_owned()))
+    }
+}
+
+fn change(value: Option<serde_json::Value>) -> plan::Change {
+    let id: record::RecordId = "service/ledger".parse().expect("a record");
+    let difference = document::Difference::Changed(id.clone(), Vec::new());
+    plan::Change { id, value, expected: id::Revision(10), difference }
+}
+
+async fn outcome(fault: Fault, value: Option<serde_json::Value>) -> &'static str {
+    let before = store::Entry {
+        key: "records/service/ledger".to_owned(),
+        value: json!({"operation": 1, "record": {}}),
+        revision: id::Revision(10),
+    };
+    let store = FakeStore { fault, entry: RefCell::new(Some(before)) };
+    let outcomes = commit::write_all(&store, &[change(value)], id::OperationId(7)).await;
+    match outcomes[0].result {
+        commit::Result::Same => "same",
+        commit::Result::Accepted { .. } => "accepted",
+        commit::Result::Conflict { .. } => "conflict",
+        commit::Result::NotWritten { .. } => "not written",
+        commit::Result::Unknown { .. } => "unknown",
+    }
+}
+
+#[ntex::test]
+async fn operators_are_told_accepted_rejected_or_unknown() {
+    let cases = [
+        (Fault::None, "accepted", "accepted"),
+        (Fault::Unreachable, "not written", "not written"),
+        (Fault::LostAnswer, "accepted", "unknown"),
+        (Fault::LostAnswerThenChanged, "unknown", "unknown"),
+        (Fault::LostWrite, "unknown", "unknown"),
+        (Fault::Race, "conflict", "conflict"),
+    ];
+    for (fault, written, withdrawn) in cases {
+        assert_eq!(outcome(fault, Some(json!({}))).await, written, "{fault:?}, written");
+        assert_eq!(outcome(fault, None).await, withdrawn, "{fault:?}, withdrawn");
+    }
+}
+
+#[ntex::test]
+async fn nothing_more_is_written_after_a_change_that_was_not_accepted() {
+    let store = FakeStore { fault: Fault::Race, entry: RefCell::new(None) };
+    let changes = [change(Some(json!({}))), change(Some(json!({})))];
+    let outcomes = commit::write_all(&store, &changes, id::OperationId(7)).await;
+    assert_eq!(outcomes.len(), 1);
+}
--- a/crates/waxwing-measure/src/contract.rs
+++ b/crates/waxwing-measure/src/contract.rs
@@ -244,6 +244,77 @@
     }
 }
 
+/// What each side of a partition admitted, as a share of the parts that it holds.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PartitionResult {
+    /// On the side of one failure domain that is cut off; none where it has no part.
+    pub cut_side: Option<f64>,
+    /// On the other side.
+    pub other_side: f64,
+    /// Both together, as a share of the whole contract.
+    pub together: f64,
+    /// How long after the cut the cut-off side admitted its first request, in milliseconds.
+    pub first_after_ms: f64,
+    /// Both together in the same span after the cut has ended.
+    pub healed: f64,
+}
+
+/// Cuts one failure domain off for `span_s` while each machine has more demand than it can get.
+pub fn run_partition(
+    deployment: Deployment,
+    options: options::Options,
+    organisation: Organisation,
+    span_s: u64,
+    seed: u64,
+) -> PartitionResult {
+    let cut_vm = (organisation.home + 3) % FAILURE_DOMAINS;
+    let contract = contract_of(organisation);
+    let mut fleet = start(deployment, options, &contract, seed);
+    let demand_per_s = organisation.rate_per_s * 7.0;
+    let (start_s, total_s) = (WARM_UP_S as f64, 2.0 * span_s as f64);
+    let arrivals = trace::poisson(seed, demand_per_s, start_s, total_s, trace::Skew::Uniform, VMS);
+    let (cut_ns, heal_ns) = (WARM_UP_S * NS_PER_S, (WARM_UP_S + span_s) * NS_PER_S);
+    fleet.run_until(cut_ns);
+    fleet.network.cuts = (0..VMS)
+        .filter(|other| *other != cut_vm)
+        .flat_map(|other| [(cut_vm, other), (other, cut_vm)])
+        .collect();
+    for (number, arrival) in arrivals.iter().enumerate() {
+        if arrival.at_ns >= heal_ns {
+            fleet.network.cuts.clear();
+        }
+        fleet.run_until(arrival.at_ns);
+        fleet.request(arrival.vm, number as u64, WAIT);
+    }
+    fleet.run_until(fleet.now_ns + NS_PER_S);
+    let admitted = |during: std::ops::Range<u64>, on: &dyn Fn(usize) -> bool| {
+        let is_it = |f: &&fleet::Finished| {
+            f.decision == borrower::Decision::Admitted && during.contains(&f.at_ns) && on(f.vm)
+        };
+        fleet.finished.iter().filter(is_it).count() as f64
+    };
+    let during_cut = cut_ns..heal_ns;
+    let after = heal_ns..heal_ns + span_s * NS_PER_S;
+    let whole = organisation.rate_per_s * span_s as f64;
+    let floor_share = match contract.floor(&domain(cut_vm)) {
+        Some(_) => FLOOR_PERMILLE as f64 / 1e3,
+        None => 0.0,
+    };
+    let cut = admitted(during_cut.clone(), &|vm| vm == cut_vm);
+    let other = admitted(during_cut.clone(), &|vm| vm != cut_vm);
+    let first = fleet.finished.iter().filter(|f| {
+        f.vm == cut_vm && f.decision == borrower::Decision::Admitted && f.at_ns >= cut_ns
+    });
+    let first_ns = first.map(|f| f.at_ns).min().unwrap_or(heal_ns);
+    PartitionResult {
+        cut_side: (floor_share > 0.0).then(|| cut / (whole * floor_share)),
+        other_side: other / (whole * (1.0 - floor_share)),
+        together: (cut + other) / whole,
+        first_after_ms: (first_ns - cut_ns) as f64 / 1e6,
+        healed: admitted(after, &|_| true) / whole,
+    }
+}
+
 fn run_fleet(
     deployment: Deployment,
     options: options::Options,
--- a/crates/waxwing-measure/src/main.rs
+++ b/crates/waxwing-measure/src/main.rs
@@ -31,6 +31,12 @@
         #[arg(long)]
         debt_ms: Option<u64>,
     },
+    /// What each side of a partition admits of the parts that it holds.
+    Partition {
+        /// How long one failure domain is cut off, in seconds.
+        #[arg(long, default_value_t = 120)]
+        span_s: u64,
+    },
     /// Bytes of each message between keepers.
     Messages,
     /// Heartbeats and the view of the machines, against the number of machines.
@@ -48,6 +54,7 @@
             let debt_max = debt_ms.map_or(defaults.debt_max, time::Duration::from_millis);
             measure_contract(options::Options { debt_max, ..defaults }, span_s, seeds);
         }
+        What::Partition { span_s } => measure_partition(span_s),
         What::Messages => measure_messages(),
         What::Fleet => measure_fleet(),
         What::Blocks => measure_blocks(),
@@ -55,6 +62,26 @@
     }
 }
 
+fn measure_partition(span_s: u64) {
+    println!("deployment   rate burst  cut side  other side  together  first after ms  healed");
+    for deployment in [contract::Deployment::Cooperative, contract::Deployment::Kartelis] {
+        for organisation in contract::organisations() {
+            let options = options::Options::default();
+            let result = contract::run_partition(deployment, options, organisation, span_s, 1);
+            println!(
+                "{deployment:11} {:>5} {:>5} {:>9} {:>10.1}% {:>8.1}% {:>15} {:>6.1}%",
+                organisation.rate_per_s,
+                organisation.burst,
+                result.cut_side.map_or("-".to_owned(), |got| format!("{:.1}%", got * 100.0)),
+                result.other_side * 100.0,
+                result.together * 100.0,
+                result.cut_side.map_or("-".to_owned(), |_| format!("{:.0}", result.first_after_ms)),
+                result.healed * 100.0,
+            );
+        }
+    }
+}
+
 fn measure_messages() {
     println!("{:22} {:>6}", "message", "bytes");
     for size in capacity::message_sizes() {
--- a/crates/waxwing-record/src/schema.rs
+++ b/crates/waxwing-record/src/schema.rs
@@ -219,8 +219,14 @@
 }
 
 fn typed<T: de::DeserializeOwned>(fields: serde_json::Map<String, serde_json::Value>) -> Result<T> {
-    serde_json::from_value(serde_json::Value::Object(fields))
-        .map_err(|error| Error::Fields(error.to_string()))
+    let value = serde_json::Value::Object(fields);
+    serde_path_to_error::deserialize(value).map_err(|error| {
+        let field = error.path().to_string();
+        match field.as_str() {
+            "." => Error::Fields(error.inner().to_string()),
+            _ => Error::Fields(format!("{field}: {}", error.inner())),
+        }
+    })
 }
 
 fn named<T: std::str::FromStr<Err = id::Error>>(name: &id::RecordName) -> Result<T> {
--- /dev/null
+++ b/crates/waxwing-record/tests/record/main.rs
@@ -0,0 +1,173 @@
+//! Records: schema versions, faults, and snapshots.
+
+use expect_test::expect;
+use serde_json::json;
+use waxwing_contract::contract;
+use waxwing_record::check;
+use waxwing_record::document;
+use waxwing_record::record;
+use waxwing_record::schema;
+use waxwing_record::snapshot;
+use waxwing_units::id;
+
+const WHOLE: &str = include_str!("../../../../examples/cooperative/records.yaml");
+
+fn faults(text: &str) -> String {
+    match document::read("records.yaml", text) {
+        Ok(_) => "none".to_owned(),
+        Err(faults) => faults.iter().map(|fault| format!("{fault}\n")).collect(),
+    }
+}
+
+#[test]
+fn each_fault_names_file_record_field_and_what_to_write() {
+    let text = "\
+kind: organisation
+schema_version: 1
+name: kiln
+rate: 50
+burst: 5 tokens
+home: lautoka
+---
+kind: organisation
+schema_version: 3
+name: kiln
+---
+kind: service
+schema_version: 1
+name: Ledger
+---
+kind: service
+schema_version: 1
+name: ledger
+deadlin: 5s
+---
+kind: router
+schema_version: 1
+name: a
+---
+kind: drain
+schema_version: 1
+name: rack
+";
+    expect![[r#"
+        records.yaml: document 1: organisation/kiln: rate: invalid type: integer `50`, expected a string
+        records.yaml: document 2: organisation/kiln: schema_version 3 of organisation records is not known; this release reads 1 to 2
+        records.yaml: document 3: service/Ledger: a name is made of a-z, 0-9 and '-', and starts with a letter or digit; found 'L'; every record has kind, schema_version and name
+        records.yaml: document 4: service/ledger: deadlin: unknown field `deadlin`, expected one of `access`, `body_max`, `deadline`, `shift_cap_permille`
+        records.yaml: document 5: router/a: "router" is no kind of record; write region, service, organisation, key, backend-server, drain or client-blocks; every record has kind, schema_version and name
+        records.yaml: document 6: drain/rack: a drain names one of backend_server, entry_vm and failure_domain
+    "#]]
+    .assert_eq(&faults(text));
+}
+
+#[test]
+fn old_and_new_schema_versions_stand_side_by_side() {
+    let old = json!({"kind": "organisation", "schema_version": 1, "name": "kiln",
+        "rate": "50/s", "burst": "50 tokens", "home": "lautoka"});
+    let mut new = old.clone();
+    new["schema_version"] = json!(2);
+    let of = |value| schema::read(value).expect("a record").record;
+    assert_eq!(of(old), of(new.clone()), "the same contract in both versions");
+    new["floors"] = json!(["nausori", "labasa"]);
+    new["floor_permille"] = json!(100);
+    let record::Record::Organisation(organisation) = of(new) else {
+        panic!("not an organisation");
+    };
+    let contract = organisation.contract(id::Revision(7));
+    assert_eq!(contract.floor_domains().len(), 2);
+    assert!(matches!(contract.spread, contract::Spread::Floors { .. }));
+}
+
+fn stored(text: &str) -> Vec<snapshot::Stored> {
+    let documents = document::read("records.yaml", text).expect("records");
+    documents
+        .into_iter()
+        .map(|document| snapshot::Stored {
+            path: document.versioned.id.to_string(),
+            revision: id::Revision(3),
+            value: document.value,
+        })
+        .collect()
+}
+
+#[test]
+fn the_whole_set_is_checked_at_once() {
+    assert_eq!(check::faults(&snapshot::Snapshot::read(id::Revision(3), &stored(WHOLE))), []);
+    let broken = WHOLE
+        .replace("home: lautoka", "home: suva")
+        .replace("floor_permille: 250", "floor_permille: 950")
+        .replace("service: ledger", "service: evidence")
+        .replace("slots: 3", "slots: 0");
+    let snapshot = snapshot::Snapshot::read(id::Revision(3), &stored(&broken));
+    let faults: String = check::faults(&snapshot).iter().map(|f| format!("{f}\n")).collect();
+    expect![[r#"
+        organisation/kiln: home suva is in no region record
+        organisation/kiln: the floors sum up to 950 thousandths; choose floor_permille so that the sum is between 1 and 900
+        backend-server/ledger-1: there is no service evidence
+        backend-server/ledger-1: slots is 0; write how many requests it bears at a time
+        backend-server/ledger-2: there is no service evidence
+        backend-server/ledger-2: slots is 0; write how many requests it bears at a time
+    "#]]
+    .assert_eq(&faults);
+}
+
+#[test]
+fn a_value_that_can_not_be_read_leaves_the_others_in_force() {
+    let mut entries = stored(WHOLE);
+    let before = snapshot::Snapshot::read(id::Revision(3), &entries);
+    entries.push(snapshot::Stored {
+        path: "service/later".to_owned(),
+        revision: id::Revision(4),
+        value: json!({"kind": "service", "schema_version": 9, "name": "later"}),
+    });
+    let after = snapshot::Snapshot::read(id::Revision(4), &entries);
+    assert_eq!(after.services, before.services);
+    assert_eq!(after.organisations, before.organisations);
+    assert_eq!(after.unreadable.len(), 1);
+    assert_eq!(after.unreadable[0].path, "service/later");
+}
+
+#[test]
+fn a_contract_keeps_its_cut_for_its_whole_life() {
+    let parts = |permille| contract::Spread::Floors {
+        failure_domains: vec!["nausori".parse().expect("a valid name")],
+        floor_permille: permille,
+    };
+    let organisation = |spread| record::Organisation {
+        organisation: "kiln".parse().expect("a valid name"),
+        rate_per_second: "50/s".parse().expect("a rate"),
+        burst_tokens: "50 tokens".parse().expect("tokens"),
+        home: "lautoka".parse().expect("a valid name"),
+        spread,
+    };
+    let old = organisation(parts(100));
+    assert!(check::replace_faults(&old, &organisation(parts(100))).is_empty());
+    assert_eq!(check::replace_faults(&old, &organisation(parts(200))).len(), 1);
+    assert_eq!(check::replace_faults(&old, &organisation(contract::Spread::Whole)).len(), 1);
+}
+
+#[test]
+fn parts_never_sum_to_more_than_the_contract_whatever_the_revisions() {
+    let domains: Vec<id::FailureDomainId> =
+        (0..5).map(|n| format!("d-{n}").parse().expect("a valid name")).collect();
+    let contract = |rate_milli: u64, burst: u64| contract::Contract {
+        organisation: "kiln".parse().expect("a valid name"),
+        revision: id::Revision(1),
+        whole: contract::Part {
+            rate_per_second: waxwing_units::rate::TokenRate::from_milli_per_second(rate_milli),
+            burst_tokens: waxwing_units::rate::Tokens(burst).nano(),
+        },
+        home: "home".parse().expect("a valid name"),
+        spread: contract::Spread::Floors { failure_domains: domains.clone(), floor_permille: 83 },
+    };
+    let sizes = [(1, 1), (7, 2), (999, 9), (1_000, 10), (1_001, 11), (333_333, 1_000_000)];
+    for (old, new) in sizes.iter().flat_map(|a| sizes.iter().map(move |b| (*a, *b))) {
+        let (old, new) = (contract(old.0, old.1), contract(new.0, new.1));
+        let floors = domains.iter().filter_map(|domain| new.floor(domain));
+        let sum = floors.fold(old.base(), contract::Part::plus);
+        let most_rate = old.whole.rate_per_second.max(new.whole.rate_per_second);
+        let most_burst = old.whole.burst_tokens.max(new.whole.burst_tokens);
+        assert!(sum.rate_per_second <= most_rate && sum.burst_tokens <= most_burst);
+    }
+}
--- a/crates/waxwing-stand-ins/src/bin/waxwing-stand-in-caller.rs
+++ b/crates/waxwing-stand-ins/src/bin/waxwing-stand-in-caller.rs
@@ -27,6 +27,24 @@
     /// Bytes of the body to upload.
     #[arg(long, default_value_t = 0)]
     body_bytes: usize,
+    /// Sends the request this often on one connection and prints how long it took.
+    #[arg(long)]
+    repeat: Option<usize>,
+    /// Sends the request straight to this address, without a look-up.
+    #[arg(long)]
+    direct: Option<net::SocketAddr>,
+}
+
+/// Sends one request many times and prints how long it took.
+fn measure(address: net::SocketAddr, request: &caller::Request, times: usize) -> eyre::Result<()> {
+    let took = caller::repeat(address, request, times)?;
+    let at =
+        |share: f64| took[((times as f64 * share) as usize).min(times - 1)].as_secs_f64() * 1e3;
+    let (median, p99, most) = (at(0.5), at(0.99), at(1.0));
+    println!(
+        "{times} requests: median {median:.2} ms, 99th percentile {p99:.2} ms, most {most:.2} ms"
+    );
+    Ok(())
 }
 
 fn main() -> eyre::Result<()> {
@@ -50,6 +68,9 @@
     if let Some(name) = &arguments.request {
         request = request.header("waxwing-request", name);
     }
+    if let (Some(times), Some(direct)) = (arguments.repeat, arguments.direct) {
+        return measure(direct, &request, times);
+    }
     for vm in vms {
         let address = vm["address"].as_str().ok_or_eyre("an entry VM has no address")?;
         match caller::call(address.parse()?, &request) {
--- a/crates/waxwing-stand-ins/src/caller.rs
+++ b/crates/waxwing-stand-ins/src/caller.rs
@@ -109,6 +109,32 @@
     read_answer(&mut stream)
 }
 
+/// Sends one request many times on one connection and returns how long each one took, sorted.
+///
+/// # Errors
+///
+/// Returns an error where an answer is not whole or not the one for a request that ran.
+pub fn repeat(
+    address: net::SocketAddr,
+    request: &Request,
+    times: usize,
+) -> io::Result<Vec<time::Duration>> {
+    let mut stream = connect(address)?;
+    let mut took = Vec::with_capacity(times);
+    for _ in 0..times {
+        let began_at = time::Instant::now();
+        stream.write_all(&request.head(false))?;
+        stream.write_all(&request.body)?;
+        let answer = read_answer(&mut stream)?;
+        if answer.status != 200 {
+            return Err(io::Error::other(format!("status {}", answer.status)));
+        }
+        took.push(began_at.elapsed());
+    }
+    took.sort_unstable();
+    Ok(took)
+}
+
 /// Reads one whole answer.
 ///
 /// # Errors
