--- a/crates/waxwing-contract/tests/contract/holder.rs
+++ b/crates/waxwing-contract/tests/contract/holder.rs
@@ -115,3 +115,33 @@
     assert_eq!(holder.part(), part(3, 3));
     assert!(holder.level() <= rate::Tokens(3).nano());
 }
+
+#[test]
+fn a_request_that_came_too_early_leaves_the_token_to_the_next_one() {
+    let mut holder = holder::Holder::new(options::Options::default(), part(10, 1), at_ms(0));
+    holder.advance(at_ms(2_000));
+    let waiting = |nonce| holder::Ask { wait: time::Duration::from_millis(300), ..ask(nonce, 1) };
+    assert!(is_granted(holder.ask(at_ms(2_000), &waiting(1))));
+    holder.settle(at_ms(2_000), &peer("vm-b"), id::Nonce(1), rate::Tokens(0));
+    assert!(
+        !is_granted(holder.ask(at_ms(2_050), &waiting(2))),
+        "a central bucket has half a token"
+    );
+    assert!(is_granted(holder.ask(at_ms(2_101), &waiting(3))), "a central bucket has a token");
+}
+
+#[test]
+fn a_request_counts_from_when_it_was_made() {
+    let mut holder = holder::Holder::new(options::Options::default(), part(10, 1), at_ms(0));
+    holder.advance(at_ms(2_000));
+    let made = |nonce, age_ms| holder::Ask {
+        wait: time::Duration::from_millis(300),
+        age: time::Duration::from_millis(age_ms),
+        ..ask(nonce, 1)
+    };
+    assert!(is_granted(holder.ask(at_ms(2_000), &made(1, 0))));
+    holder.settle(at_ms(2_000), &peer("vm-b"), id::Nonce(1), rate::Tokens(0));
+    let early = holder.ask(at_ms(2_110), &made(2, 40));
+    assert!(!is_granted(early), "it was made 70 ms after the first one");
+    assert!(is_granted(holder.ask(at_ms(2_141), &made(3, 40))), "it was made 101 ms after it");
+}
