feat: bound how long a machine that is cut off takes keys

Cause: a withdrawal can't reach a machine that is cut off, and it has to go on serving. Which of the two goes first is the operator's to say, service by service: key_staleness_max refuses keyed requests, as not run, once the records have not been known to be the newest for that long.

Keepers note when a revision was the store's newest, tell its age with their heartbeats, and tell the processes of their machine. Watches last 2 s, so that the news of an unchanged store is young.

Adds the session of a machine that takes over the seats of one that is gone, and lets a followed time line miss no event of a slower process.

--- a/crates/waxwing-cli/src/fleet.rs
+++ b/crates/waxwing-cli/src/fleet.rs
@@ -39,17 +39,32 @@
     serde_json::from_slice(&body).map_err(|error| silent(error.to_string()))
 }
 
-/// Asks all processes for their events after `after`.
-pub async fn events(
-    addresses: &[net::SocketAddr],
-    after: stamp::Stamp,
-) -> (Vec<Vec<event::Event>>, Vec<Silent>) {
+/// A process and the last of its events that is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Source {
+    /// Its admin address.
+    pub address: net::SocketAddr,
+    /// The stamp of its last known event.
+    pub after: stamp::Stamp,
+}
+
+/// Asks all processes for their events that are not known yet.
+pub async fn events(sources: &mut [Source]) -> (Vec<Vec<event::Event>>, Vec<Silent>) {
     let client = client::Client::new().await;
-    let path = format!("/events?after={after}");
-    let calls = addresses.iter().map(|address| get(&client, *address, &path));
+    let calls = sources.iter_mut().map(|source| new_events(&client, source));
     part(future::join_all(calls).await)
 }
 
+async fn new_events(
+    client: &client::Client,
+    source: &mut Source,
+) -> Result<Vec<event::Event>, Silent> {
+    let path = format!("/events?after={}", source.after);
+    let events: Vec<event::Event> = get(client, source.address, &path).await?;
+    source.after = events.last().map_or(source.after, |event| event.at);
+    Ok(events)
+}
+
 /// Asks all processes for their state; those that are no keepers are passed over.
 pub async fn status(addresses: &[net::SocketAddr]) -> (Vec<keeper::Status>, Vec<Silent>) {
     let client = client::Client::new().await;
--- a/crates/waxwing-cli/src/run.rs
+++ b/crates/waxwing-cli/src/run.rs
@@ -1,6 +1,7 @@
 //! Runs one command.
 
 use std::fs;
+use std::net;
 use std::path;
 use std::time;
 
@@ -241,7 +242,10 @@
             }
             let exit = carry_out(platform, plan_value(&stored, issued.value), json).await?;
             if matches!(exit, Exit::Done | Exit::Unknown) {
-                println!("{}", issued.key);
+                match json {
+                    true => println!("{}", serde_json::json!({ "key": issued.key })),
+                    false => println!("{}", issued.key),
+                }
             }
             Ok(exit)
         }
@@ -302,10 +306,13 @@
         organisation: timeline.organisation.clone(),
         vm: timeline.vm.clone(),
     };
-    let mut after = stamp::Stamp::default();
+    let start = |address: &net::SocketAddr| fleet::Source {
+        address: *address,
+        after: stamp::Stamp::default(),
+    };
+    let mut sources: Vec<fleet::Source> = settings.admin_addresses.iter().map(start).collect();
     loop {
-        let (parts, silent) = fleet::events(&settings.admin_addresses, after).await;
-        let last = parts.iter().flatten().map(|event| event.at).max();
+        let (parts, silent) = fleet::events(&mut sources).await;
         let events = merge::merge(parts, &filter);
         match json {
             true => {
@@ -315,7 +322,6 @@
             }
             false => print!("{}", merge::Lines(&events)),
         }
-        after = last.unwrap_or(after);
         if !timeline.follow {
             report_silent(&silent);
             return Ok(if silent.is_empty() { Exit::Done } else { Exit::Failed });
--- a/crates/waxwing-entry/src/carry.rs
+++ b/crates/waxwing-entry/src/carry.rs
@@ -13,6 +13,7 @@
 use ntex::util as ntex_util;
 use ntex::web;
 use rand::Rng;
+use waxwing_keeper_client::client as keeper_client;
 use waxwing_machine::backend_server;
 use waxwing_machine::entry_vm;
 use waxwing_process::clock;
@@ -272,11 +273,23 @@
     }
     let key = key.ok_or(refusal::Refusal::MissingKey)?;
     let digest = digest::KeyDigest::of(key);
-    let records = entry.keeper.view().records;
-    let organisation = records.organisation_of(&digest).cloned();
+    let view = entry.keeper.view();
+    if are_keys_stale(&view, service) {
+        return Err(refusal::Refusal::KeysStale);
+    }
+    let organisation = view.records.organisation_of(&digest).cloned();
     organisation.map(Some).ok_or(refusal::Refusal::UnknownKey)
 }
 
+/// Tells whether the records may be older than the service allows.
+fn are_keys_stale(view: &keeper_client::View, service: &record::Service) -> bool {
+    let Some(most_ms) = service.key_staleness_max_ms else {
+        return false;
+    };
+    let is_fresh = |at: units_time::MonoInstant| clock::now().since(at) <= most_ms.duration();
+    !view.confirmed_at.is_some_and(is_fresh)
+}
+
 async fn charge(entry: &entry::Entry, journey: &Journey) -> Result<()> {
     let Some(organisation) = journey.organisation.clone() else {
         return Ok(());
--- a/crates/waxwing-entry/src/refusal.rs
+++ b/crates/waxwing-entry/src/refusal.rs
@@ -33,6 +33,11 @@
     /// The key is not known, or was withdrawn.
     #[error("the key is not known or was withdrawn")]
     UnknownKey,
+    /// This machine has been cut off for longer than the service allows keys to be taken.
+    #[error(
+        "this entry VM is cut off and can't tell whether the key was withdrawn; use another one"
+    )]
+    KeysStale,
     /// The key stands in the path or query.
     #[error("the key must stand in the header {} only", headers::KEY)]
     KeyInPath,
@@ -121,6 +126,7 @@
             Self::Exhausted { .. } => http::StatusCode::TOO_MANY_REQUESTS,
             Self::Leaving
             | Self::NoRecords
+            | Self::KeysStale
             | Self::ContractUnreachable
             | Self::QueueFull
             | Self::ShiftCapped
--- a/crates/waxwing-keeper-client/src/client.rs
+++ b/crates/waxwing-keeper-client/src/client.rs
@@ -14,6 +14,7 @@
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 use waxwing_machine::fleet;
+use waxwing_process::clock;
 use waxwing_process::reporter;
 use waxwing_protocol::frame;
 use waxwing_protocol::local;
@@ -52,6 +53,8 @@
     pub records: sync::Arc<snapshot::Snapshot>,
     /// The machines that can be reached, sorted by name.
     pub reachable: sync::Arc<Vec<fleet::Reachable>>,
+    /// When the records were last known to be the store's newest.
+    pub confirmed_at: Option<units_time::MonoInstant>,
     /// Whether the machine leaves.
     pub is_leaving: bool,
 }
@@ -202,6 +205,10 @@
             local::FromKeeper::Fleet(reachable) => {
                 self.change(|view| view.reachable = sync::Arc::new(reachable));
             }
+            local::FromKeeper::Confirmed { ago_ms } => {
+                let confirmed_at = clock::now().before(ago_ms.duration());
+                self.view.lock().confirmed_at = Some(confirmed_at);
+            }
             local::FromKeeper::Leave => self.change(|view| view.is_leaving = true),
             local::FromKeeper::Charged { nonce, decision, stamp } => {
                 self.reporter.observe(stamp);
--- a/crates/waxwing-keeper/src/connections.rs
+++ b/crates/waxwing-keeper/src/connections.rs
@@ -77,6 +77,13 @@
         }
     }
 
+    /// Tells all processes how old the records in force may be.
+    pub fn confirmed(&self, ago_ms: units_time::Millis) {
+        if let Some(encoded) = encode(&local::FromKeeper::Confirmed { ago_ms }) {
+            self.broadcast(&encoded);
+        }
+    }
+
     /// Tells all processes that the machine leaves.
     pub fn leave(&self) {
         if let Some(encoded) = encode(&local::FromKeeper::Leave) {
--- a/crates/waxwing-keeper/src/heartbeats.rs
+++ b/crates/waxwing-keeper/src/heartbeats.rs
@@ -39,6 +39,7 @@
     let heartbeat = fleet::Heartbeat {
         entry_vm: me,
         revision: keeper.records.get().revision,
+        confirmed_ago_ms: keeper.confirmed_ago(),
         interval_ms: units_time::Millis(u64::try_from(interval.as_millis()).unwrap_or(u64::MAX)),
         load: keeper.load.lock().clone(),
     };
@@ -60,5 +61,6 @@
         keeper.reporter.report(event::What::PeerSilent { peer: vm.clone() });
     }
     keeper.publish_fleet();
+    keeper.publish_confirmed();
     reachable
 }
--- a/crates/waxwing-keeper/src/keeper.rs
+++ b/crates/waxwing-keeper/src/keeper.rs
@@ -206,6 +206,19 @@
         self.reporter.report(event::What::MalformedMessage);
     }
 
+    /// Returns how long ago the records in force were known to be the store's newest.
+    pub fn confirmed_ago(&self) -> Option<units_time::Millis> {
+        let ago = clock::now().since(self.records.confirmed_at()?);
+        Some(units_time::Millis(u64::try_from(ago.as_millis()).unwrap_or(u64::MAX)))
+    }
+
+    /// Tells the other processes of this machine how old the records in force may be.
+    pub fn publish_confirmed(&self) {
+        if let Some(ago_ms) = self.confirmed_ago() {
+            self.connections.confirmed(ago_ms);
+        }
+    }
+
     /// Tells the other processes of this machine which machines can be reached.
     pub fn publish_fleet(&self) {
         let mut reachable = self.fleet.lock().reachable(clock::now());
--- a/crates/waxwing-keeper/src/peers.rs
+++ b/crates/waxwing-keeper/src/peers.rs
@@ -53,6 +53,9 @@
     let (vm, incarnation) = (from.vm.clone(), from.incarnation);
     let phase_before = keeper.fleet.lock().member(&vm).map(|member| member.entry_vm.phase);
     let (phase, revision) = (heartbeat.entry_vm.phase, heartbeat.revision);
+    if let Some(ago_ms) = heartbeat.confirmed_ago_ms {
+        keeper.records.confirm(revision, clock::now().before(ago_ms.duration()));
+    }
     let is_new = keeper.fleet.lock().hear(clock::now(), heartbeat, incarnation);
     if is_new {
         keeper.reporter.report(event::What::PeerHeard { peer: vm });
--- a/crates/waxwing-keeper/src/platform.rs
+++ b/crates/waxwing-keeper/src/platform.rs
@@ -25,7 +25,9 @@
 const WATCHERS_PER_FAILURE_DOMAIN: usize = 2;
 
 /// How long one watch waits for news.
-const WATCH_WAIT: time::Duration = time::Duration::from_secs(20);
+///
+/// It bounds the age of the news that nothing has changed, which keys may depend on.
+const WATCH_WAIT: time::Duration = time::Duration::from_secs(2);
 
 /// How long to wait before the store is called again after it failed.
 const RETRY_INTERVAL: time::Duration = time::Duration::from_millis(500);
@@ -62,14 +64,19 @@
     let agreed = records::Agreed::read(&listing);
     let revision = agreed.revision;
     keeper.put_in_force(agreed, event::Source::Store, read_at);
+    keeper.records.confirm(revision, read_at);
     confirm_seats(keeper, revision, read_at);
-    while platform.watch(revision, WATCH_WAIT).await? <= revision {
+    loop {
+        let asked_at = clock::now();
+        if platform.watch(revision, WATCH_WAIT).await? > revision {
+            return Ok(());
+        }
         note_store(keeper, true);
+        keeper.records.confirm(revision, asked_at);
         if !is_watcher(keeper) || is_unconfirmed(keeper) {
             return Ok(());
         }
     }
-    Ok(())
 }
 
 /// Shows the seats again where the store says what is in force here already, so that a machine
--- a/crates/waxwing-keeper/src/records.rs
+++ b/crates/waxwing-keeper/src/records.rs
@@ -8,6 +8,7 @@
 use waxwing_platform::store;
 use waxwing_record::snapshot;
 use waxwing_units::id;
+use waxwing_units::time as units_time;
 
 /// The seats of a failure domain and the revision of their record.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -70,6 +71,14 @@
 #[derive(Debug, Default)]
 pub struct Records {
     agreed: Mutex<sync::Arc<Agreed>>,
+    confirmed: Mutex<Option<Confirmed>>,
+}
+
+/// When a revision was known to be the store's newest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Confirmed {
+    revision: id::Revision,
+    at: units_time::MonoInstant,
 }
 
 impl Records {
@@ -78,6 +87,22 @@
         self.agreed.lock().clone()
     }
 
+    /// Notes that `revision` was the store's newest at `at`.
+    pub fn confirm(&self, revision: id::Revision, at: units_time::MonoInstant) {
+        let mut confirmed = self.confirmed.lock();
+        let known = confirmed.map(|known| (known.revision, known.at));
+        if known < Some((revision, at)) {
+            *confirmed = Some(Confirmed { revision, at });
+        }
+    }
+
+    /// Returns when the records in force were last known to be the store's newest.
+    pub fn confirmed_at(&self) -> Option<units_time::MonoInstant> {
+        let in_force = self.get().revision;
+        let confirmed = *self.confirmed.lock();
+        confirmed.filter(|known| known.revision <= in_force).map(|known| known.at)
+    }
+
     /// Puts `agreed` in force unless something as new is in force already.
     pub fn advance(&self, agreed: Agreed) -> Option<sync::Arc<Agreed>> {
         let mut current = self.agreed.lock();
--- a/crates/waxwing-machine/src/fleet.rs
+++ b/crates/waxwing-machine/src/fleet.rs
@@ -64,6 +64,8 @@
     pub entry_vm: entry_vm::EntryVm,
     /// The revision of the records in force on it.
     pub revision: id::Revision,
+    /// How long ago that revision was known to be the store's newest; none where it never was.
+    pub confirmed_ago_ms: Option<units_time::Millis>,
     /// How long until its next heartbeat.
     pub interval_ms: units_time::Millis,
     /// What it has to do.
--- a/crates/waxwing-machine/tests/machine/fleet.rs
+++ b/crates/waxwing-machine/tests/machine/fleet.rs
@@ -24,6 +24,7 @@
     fleet::Heartbeat {
         entry_vm,
         revision: id::Revision(1),
+        confirmed_ago_ms: Some(units_time::Millis(4_000)),
         interval_ms: units_time::Millis(500),
         load: fleet::Load::default(),
     }
--- a/crates/waxwing-measure/src/capacity.rs
+++ b/crates/waxwing-measure/src/capacity.rs
@@ -54,6 +54,7 @@
     fleet::Heartbeat {
         entry_vm: vm.clone(),
         revision: id::Revision(1),
+        confirmed_ago_ms: Some(units_time::Millis(4_000)),
         interval_ms: units_time::Millis(500),
         load: fleet::Load::default(),
     }
@@ -104,6 +105,7 @@
         peer::Body::Heartbeat(fleet::Heartbeat {
             entry_vm: entry_vm_of(1),
             revision: id::Revision(1_000_000),
+            confirmed_ago_ms: Some(units_time::Millis(4_000)),
             interval_ms: units_time::Millis(5_200),
             load: fleet::Load {
                 in_flight: 1_000,
--- a/crates/waxwing-protocol/src/local.rs
+++ b/crates/waxwing-protocol/src/local.rs
@@ -71,6 +71,11 @@
         /// The keeper's clock.
         stamp: stamp::Stamp,
     },
+    /// The records in force were the store's newest at some time.
+    Confirmed {
+        /// How long ago that was.
+        ago_ms: units_time::Millis,
+    },
     /// The machine leaves: finish what is under way and take nothing new.
     Leave,
 }
--- a/crates/waxwing-record/src/check.rs
+++ b/crates/waxwing-record/src/check.rs
@@ -2,6 +2,7 @@
 
 use waxwing_contract::contract;
 use waxwing_units::id;
+use waxwing_units::time as units_time;
 
 use crate::record;
 use crate::snapshot;
@@ -9,6 +10,9 @@
 /// The largest sum of all floor parts of a contract, in thousandths.
 const FLOORS_MAX_PERMILLE: u64 = 900;
 
+/// The shortest time for which keys must be taken without news from the store.
+const KEY_STALENESS_MIN: units_time::Millis = units_time::Millis(8_000);
+
 /// A fault of a record within the whole set.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("{record}: {what}")]
@@ -72,6 +76,13 @@
             let what = "deadline is 0ms; write how long a request may take, such as 10s";
             fault(faults, record::Kind::Service, name, what.to_owned());
         }
+        if service.key_staleness_max_ms.is_some_and(|most| most < KEY_STALENESS_MIN) {
+            let what = format!(
+                "key_staleness_max is below {KEY_STALENESS_MIN}, the time that the news of an \
+                 unchanged store takes to all machines"
+            );
+            fault(faults, record::Kind::Service, name, what);
+        }
         if !(1..=1_000).contains(&service.shift_cap_permille) {
             let what = "shift_cap_permille must be between 1 and 1000".to_owned();
             fault(faults, record::Kind::Service, name, what);
--- a/crates/waxwing-record/src/record.rs
+++ b/crates/waxwing-record/src/record.rs
@@ -146,6 +146,9 @@
     pub body_max_bytes: size::Bytes,
     /// How long a request may take where its caller sets no limit, in milliseconds.
     pub deadline_ms: units_time::Millis,
+    /// How long ago the records must have been known to be the newest for keys to be taken;
+    /// without it they are taken for as long as the machine is cut off.
+    pub key_staleness_max_ms: Option<units_time::Millis>,
     /// The largest share of traffic that moves to or from a region within ten seconds.
     pub shift_cap_permille: u64,
 }
--- a/crates/waxwing-record/src/schema.rs
+++ b/crates/waxwing-record/src/schema.rs
@@ -95,6 +95,9 @@
     deadline: units_time::Millis,
     #[serde(default = "default_shift_cap_permille")]
     shift_cap_permille: u64,
+    #[serde_as(as = "Option<DisplayFromStr>")]
+    #[serde(default)]
+    key_staleness_max: Option<units_time::Millis>,
 }
 
 const fn default_body_max() -> size::Bytes {
@@ -245,6 +248,7 @@
         access: fields.access,
         body_max_bytes: fields.body_max,
         deadline_ms: fields.deadline,
+        key_staleness_max_ms: fields.key_staleness_max,
         shift_cap_permille: fields.shift_cap_permille,
     })
 }
--- a/crates/waxwing-session/src/deployment.rs
+++ b/crates/waxwing-session/src/deployment.rs
@@ -152,6 +152,12 @@
         self.wait_until_ready();
     }
 
+    /// Names one more entry VM and starts its processes; the platform is not told.
+    pub fn add_vm(&mut self, vm: &str, failure_domain: &str) {
+        self.vms.push((vm.to_owned(), failure_domain.to_owned()));
+        self.start_vm(vm);
+    }
+
     /// Starts the processes of a named entry VM.
     pub fn start_vm(&mut self, vm: &str) {
         for (process, _) in PROCESSES {
--- a/crates/waxwing-session/tests/session/configuration.rs
+++ b/crates/waxwing-session/tests/session/configuration.rs
@@ -132,3 +132,25 @@
         });
     }
 }
+
+#[test]
+fn keys_are_not_taken_for_longer_than_the_service_allows() {
+    let (deployment, key) = support::start(25);
+    let records = support::records(&deployment)
+        .replace("deadline: 5s", "deadline: 5s\nkey_staleness_max: 8s");
+    deployment.apply(&records);
+    let vm = support::VMS[0];
+    let ask = || support::call(&deployment, vm, support::keyed("GET", "/ledger/a", &key));
+    deployment::wait_until("the records are confirmed", || ask().starts_with("200"));
+    thread::sleep(time::Duration::from_secs(9));
+    assert!(ask().starts_with("200"), "watches confirm the records all the while");
+    set_faults(&deployment, &json!({"is_out": true}));
+    deployment::wait_until("the keys may be out of date", || {
+        let seen = ask();
+        seen.starts_with("503 not-run") && seen.contains("cut off")
+    });
+    let open = caller::Request::new("GET", "/hours/today");
+    assert!(support::call(&deployment, vm, open).starts_with("200"), "open routes go on");
+    set_faults(&deployment, &json!({}));
+    deployment::wait_until("keys are taken again", || ask().starts_with("200"));
+}
--- a/crates/waxwing-session/tests/session/failures.rs
+++ b/crates/waxwing-session/tests/session/failures.rs
@@ -137,3 +137,28 @@
         deployment.looked_up(vm) == [support::VMS[1]]
     });
 }
+
+#[test]
+fn a_new_machine_takes_over_the_seats_of_one_that_is_gone() {
+    let (mut deployment, key) = support::start(35);
+    let (gone, new) = (support::VMS[0], "vm-lautoka-2");
+    for process in ["waxwing-keeper", "waxwing-lookup", "waxwing-entry"] {
+        deployment.kill(&format!("{gone}.{process}"));
+    }
+    deployment.add_vm(new, "lautoka");
+    // The list lags: for a while it names the machine that is gone, and its seats stay.
+    deployment.list_vms(&[gone, new, support::VMS[1]]);
+    let seats = |deployment: &deployment::Deployment| {
+        let status = deployment.read(deployment.admin(new, "waxwing-keeper"), "/status");
+        status["seats"].as_array().map_or(0, Vec::len)
+    };
+    deployment::wait_until("the new machine is heard", || {
+        deployment.looked_up(support::VMS[1]).contains(&new.to_owned())
+    });
+    thread::sleep(time::Duration::from_secs(3));
+    assert_eq!(seats(&deployment), 0, "the list still names the holder");
+    deployment.list_vms(&[new, support::VMS[1]]);
+    deployment::wait_until("the new machine has the seats", || seats(&deployment) == 1);
+    support::wait_for_service(&deployment, new, &key);
+    support::wait_for_service(&deployment, support::VMS[1], &key);
+}
