--- a/crates/waxwing-measure/src/capacity.rs
+++ b/crates/waxwing-measure/src/capacity.rs
@@ -262,9 +262,29 @@
     4.0 * addresses.len() as f64 / began_at.elapsed().as_secs_f64()
 }
 
-/// Cuts blocks into records of 20,000 blocks, each well below a megabyte.
+/// Returns a number of client blocks as records in YAML, for one failure domain.
+pub fn blocks_yaml(count: usize, failure_domain: &str) -> String {
+    let blocks = draw_blocks(count);
+    let chunks = blocks.chunks(BLOCKS_PER_RECORD).enumerate();
+    let mut text = String::new();
+    for (number, chunk) in chunks {
+        text.push_str(&format!(
+            "---\nkind: client-blocks\nschema_version: 1\nname: blocks-{number}\nnearest:\n  \
+             {failure_domain}:\n"
+        ));
+        for block in chunk {
+            text.push_str(&format!("    - {}\n", block.prefix));
+        }
+    }
+    text
+}
+
+/// Blocks in one record, so that each stays well below a megabyte.
+const BLOCKS_PER_RECORD: usize = 20_000;
+
+/// Cuts blocks into records.
 fn stored_blocks(blocks: &[record::ClientBlock]) -> Vec<snapshot::Stored> {
-    let chunks = blocks.chunks(20_000).enumerate();
+    let chunks = blocks.chunks(BLOCKS_PER_RECORD).enumerate();
     chunks
         .map(|(number, chunk)| {
             let mut nearest = serde_json::Map::new();
--- a/crates/waxwing-measure/src/main.rs
+++ b/crates/waxwing-measure/src/main.rs
@@ -43,6 +43,13 @@
     Fleet,
     /// Client blocks, against their number.
     Blocks,
+    /// Prints client blocks as records, to be written with `waxwing apply`.
+    WriteBlocks {
+        /// How many blocks.
+        count: usize,
+        /// The failure domain that all of them lead to.
+        failure_domain: String,
+    },
     /// A holder's answers, against the grants that are outstanding.
     Holder,
 }
@@ -58,6 +65,9 @@
         What::Messages => measure_messages(),
         What::Fleet => measure_fleet(),
         What::Blocks => measure_blocks(),
+        What::WriteBlocks { count, failure_domain } => {
+            print!("{}", capacity::blocks_yaml(count, &failure_domain));
+        }
         What::Holder => measure_holder(),
     }
 }
