--- a/crates/waxwing-measure/src/main.rs
+++ b/crates/waxwing-measure/src/main.rs
@@ -30,6 +30,12 @@
         /// How far ahead of the refill a holder promises tokens, in milliseconds.
         #[arg(long)]
         debt_ms: Option<u64>,
+        /// Measures one organisation with these bursts, at `--rate`, in place of a user's eight.
+        #[arg(long, requires = "rate")]
+        burst: Vec<u64>,
+        /// The rate of that organisation, in requests a second.
+        #[arg(long)]
+        rate: Option<f64>,
     },
     /// What each side of a partition admits of the parts that it holds.
     Partition {
@@ -56,10 +62,15 @@
 
 fn main() {
     match Arguments::parse().what {
-        What::Contract { span_s, seeds, debt_ms } => {
+        What::Contract { span_s, seeds, debt_ms, burst, rate } => {
             let defaults = options::Options::default();
             let debt_max = debt_ms.map_or(defaults.debt_max, time::Duration::from_millis);
-            measure_contract(options::Options { debt_max, ..defaults }, span_s, seeds);
+            let options = options::Options { debt_max, ..defaults };
+            let organisations = match rate {
+                Some(rate_per_s) => own_organisations(rate_per_s, &burst),
+                None => contract::organisations(),
+            };
+            measure_contract(options, &organisations, span_s, seeds);
         }
         What::Partition { span_s } => measure_partition(span_s),
         What::Messages => measure_messages(),
@@ -145,7 +156,18 @@
     ("moving", trace::Skew::Moving { stay_s: 5 }),
 ];
 
-fn measure_contract(options: options::Options, span_s: u64, seeds: u64) {
+fn own_organisations(rate_per_s: f64, bursts: &[u64]) -> Vec<contract::Organisation> {
+    let of =
+        |burst: &u64| contract::Organisation { rate_per_s, burst: *burst, demand: 0.9, home: 0 };
+    bursts.iter().map(of).collect()
+}
+
+fn measure_contract(
+    options: options::Options,
+    organisations: &[contract::Organisation],
+    span_s: u64,
+    seeds: u64,
+) {
     println!(
         "{:11} {:8} {:>5} {:>5} {:>6} {:>8} {:>8} {:>8} {:>8} {:>8} {:>7} {:>7} {:>8}",
         "deployment",
@@ -165,8 +187,8 @@
     for deployment in [contract::Deployment::Cooperative, contract::Deployment::Kartelis] {
         for (name, skew) in SKEWS {
             for times in [0.9, 5.0] {
-                for organisation in contract::organisations() {
-                    let organisation = contract::Organisation { demand: times, ..organisation };
+                for organisation in organisations {
+                    let organisation = contract::Organisation { demand: times, ..*organisation };
                     let results = (0..seeds).map(|seed| {
                         contract::run(deployment, options, organisation, skew, span_s, seed)
                     });
