fix(entry): give back a slot that a waiting request was handed and never took

Cause: a slot handed to a request in the queue at the moment when the request timed out or its caller went was lost for good, and the backend server had one slot less from then on. Found when reading which values are dropped unseen.

Change: the place in the queue gives the slot back when it is dropped.

--- a/crates/waxwing-entry/src/carry.rs
+++ b/crates/waxwing-entry/src/carry.rs
@@ -463,11 +463,9 @@
         pools::Acquired::Slot(slot) => Ok(slot),
         pools::Acquired::QueueFull if tried.is_empty() => Err(refusal::Refusal::QueueFull),
         pools::Acquired::QueueFull => Err(no_slot(journey, history)),
-        pools::Acquired::Waits(receiver) => {
-            match ntex_time::timeout(journey.left(), receiver).await {
-                Ok(Ok(lease)) => Ok(entry.pools.slot(service, lease)),
-                Ok(Err(_)) | Err(()) => Err(no_slot(journey, history)),
-            }
+        pools::Acquired::Waits(mut waiting) => {
+            let waited = ntex_time::timeout(journey.left(), waiting.slot()).await;
+            waited.ok().flatten().ok_or_else(|| no_slot(journey, history))
         }
     }
 }
--- a/crates/waxwing-entry/src/pools.rs
+++ b/crates/waxwing-entry/src/pools.rs
@@ -43,11 +43,38 @@
     /// A slot.
     Slot(Slot),
     /// A place in the queue.
-    Waits(oneshot::Receiver<pool::Lease>),
+    Waits(Waiting),
     /// Nothing: too many requests of the organisation wait already.
     QueueFull,
 }
 
+/// A place in the queue for a slot.
+///
+/// Dropped, it gives back a slot that it was handed and that nobody has taken.
+#[derive(Debug)]
+pub struct Waiting {
+    pools: sync::Arc<Pools>,
+    service: id::ServiceId,
+    receiver: oneshot::Receiver<pool::Lease>,
+}
+
+impl Waiting {
+    /// Waits for a slot; none where the queue has ended.
+    pub async fn slot(&mut self) -> Option<Slot> {
+        let lease = (&mut self.receiver).await.ok()?;
+        Some(self.pools.slot(&self.service, lease))
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.receiver.close();
+        if let Ok(lease) = self.receiver.try_recv() {
+            self.pools.release(&self.service, &lease, None);
+        }
+    }
+}
+
 /// A slot at a backend server; dropped, it is free again.
 #[derive(Debug)]
 pub struct Slot {
@@ -144,7 +171,10 @@
         });
         match taken {
             Some(Ok(lease)) => Acquired::Slot(self.slot(service, lease)),
-            Some(Err(Some(receiver))) => Acquired::Waits(receiver),
+            Some(Err(Some(receiver))) => {
+                let (pools, service) = (self.clone(), service.clone());
+                Acquired::Waits(Waiting { pools, service, receiver })
+            }
             Some(Err(None)) | None => Acquired::QueueFull,
         }
     }
@@ -166,7 +196,7 @@
     }
 
     /// Wraps a lease so that it is given back when it is dropped.
-    pub fn slot(self: &sync::Arc<Self>, service: &id::ServiceId, lease: pool::Lease) -> Slot {
+    fn slot(self: &sync::Arc<Self>, service: &id::ServiceId, lease: pool::Lease) -> Slot {
         Slot { pools: self.clone(), service: service.clone(), lease, ending: None }
     }
 
