--- a/crates/waxwing-entry/src/main.rs
+++ b/crates/waxwing-entry/src/main.rs
@@ -1,11 +1,9 @@
 //! Runs the entry process.
 
-use std::process;
 use std::sync;
 use std::sync::atomic;
 use std::time;
 
-use clap::Parser;
 use eyre::OptionExt;
 use eyre::WrapErr;
 use ntex::http;
@@ -21,7 +19,6 @@
 use waxwing_process::admin;
 use waxwing_process::arguments;
 use waxwing_process::clock;
-use waxwing_process::logs;
 use waxwing_process::metrics;
 use waxwing_process::reporter;
 use waxwing_process::signal;
@@ -34,21 +31,8 @@
 const MS_PER_S: u64 = 1_000;
 
 fn main() {
-    let arguments = arguments::Arguments::parse();
-    let settings = waxwing_process::settings::load::<settings::Settings>(&arguments.settings);
-    let settings = settings.unwrap_or_else(|error| {
-        eprintln!("{error}");
-        process::exit(arguments::EXIT_SETTINGS);
-    });
-    if arguments.check {
-        println!("{}: the settings are right", arguments.settings.display());
-        return;
-    }
-    logs::begin();
-    if let Err(error) = run(settings) {
-        eprintln!("waxwing-entry: {error:#}");
-        process::exit(arguments::EXIT_FAILED);
-    }
+    let settings: settings::Settings = arguments::settings_or_exit();
+    arguments::exit_on_error("waxwing-entry", run(settings));
 }
 
 #[ntex::main]
@@ -106,14 +90,7 @@
     });
     let reporter = entry.reporter.clone();
     let admin = admin::Admin { is_ready, reporter, metrics, status };
-    let server = admin::serve(address, admin)
-        .wrap_err_with(|| format!("admin_address {address} can't be bound"))?;
-    ntex::rt::spawn(async move {
-        if let Err(error) = server.await {
-            log::error!("the admin endpoint ended: {error}");
-        }
-    });
-    Ok(())
+    admin::start(address, admin).wrap_err_with(|| format!("admin_address {address} can't be bound"))
 }
 
 fn serve(entry: &entry::Shared) -> eyre::Result<ntex::server::Server> {
--- a/crates/waxwing-keeper/src/main.rs
+++ b/crates/waxwing-keeper/src/main.rs
@@ -1,13 +1,12 @@
 //! Runs the keeper.
 
 use std::net;
-use std::process;
 use std::sync;
 use std::sync::atomic;
 use std::thread;
 use std::time;
 
-use clap::Parser;
+use eyre::OptionExt;
 use eyre::WrapErr;
 use ntex::time as ntex_time;
 use waxwing_keeper::connections;
@@ -23,7 +22,6 @@
 use waxwing_process::admin;
 use waxwing_process::arguments;
 use waxwing_process::clock;
-use waxwing_process::logs;
 use waxwing_process::metrics;
 use waxwing_process::signal;
 use waxwing_timeline::event;
@@ -39,25 +37,9 @@
 const LEAVE_INTERVAL: time::Duration = time::Duration::from_millis(200);
 
 fn main() {
-    let arguments = arguments::Arguments::parse();
-    let checked = waxwing_process::settings::load::<settings::Settings>(&arguments.settings);
-    let checked = match checked.map(settings::Settings::checked) {
-        Ok(Some(checked)) => checked,
-        Ok(None) => process::exit(arguments::EXIT_SETTINGS),
-        Err(error) => {
-            eprintln!("{error}");
-            process::exit(arguments::EXIT_SETTINGS);
-        }
-    };
-    if arguments.check {
-        println!("{}: the settings are right", arguments.settings.display());
-        return;
-    }
-    logs::begin();
-    if let Err(error) = run(checked) {
-        eprintln!("waxwing-keeper: {error:#}");
-        process::exit(arguments::EXIT_FAILED);
-    }
+    let settings: settings::Settings = arguments::settings_or_exit();
+    let ended = settings.checked().ok_or_eyre("a setting is missing").and_then(run);
+    arguments::exit_on_error("waxwing-keeper", ended);
 }
 
 #[ntex::main]
@@ -128,14 +110,8 @@
     let status = sync::Arc::new(move || shown.status_text());
     let reporter = keeper.reporter.clone();
     let admin = admin::Admin { is_ready, reporter, metrics, status };
-    let server = admin::serve(settings.admin_address, admin)
-        .wrap_err_with(|| format!("admin_address {} can't be bound", settings.admin_address))?;
-    ntex::rt::spawn(async move {
-        if let Err(error) = server.await {
-            log::error!("the admin endpoint ended: {error}");
-        }
-    });
-    Ok(())
+    admin::start(settings.admin_address, admin)
+        .wrap_err_with(|| format!("admin_address {} can't be bound", settings.admin_address))
 }
 
 fn observe(keeper: &keeper::Shared, metrics: &metrics::Metrics) {
--- a/crates/waxwing-lookup/src/main.rs
+++ b/crates/waxwing-lookup/src/main.rs
@@ -1,10 +1,8 @@
 //! Runs the look-up process.
 
-use std::process;
 use std::sync;
 use std::sync::atomic;
 
-use clap::Parser;
 use eyre::OptionExt;
 use eyre::WrapErr;
 use ntex::web;
@@ -13,28 +11,14 @@
 use waxwing_lookup::settings;
 use waxwing_process::admin;
 use waxwing_process::arguments;
-use waxwing_process::logs;
 use waxwing_process::metrics;
 use waxwing_process::reporter;
 use waxwing_process::signal;
 use waxwing_timeline::event;
 
 fn main() {
-    let arguments = arguments::Arguments::parse();
-    let settings = waxwing_process::settings::load::<settings::Settings>(&arguments.settings);
-    let settings = settings.unwrap_or_else(|error| {
-        eprintln!("{error}");
-        process::exit(arguments::EXIT_SETTINGS);
-    });
-    if arguments.check {
-        println!("{}: the settings are right", arguments.settings.display());
-        return;
-    }
-    logs::begin();
-    if let Err(error) = run(settings) {
-        eprintln!("waxwing-lookup: {error:#}");
-        process::exit(arguments::EXIT_FAILED);
-    }
+    let settings: settings::Settings = arguments::settings_or_exit();
+    arguments::exit_on_error("waxwing-lookup", run(settings));
 }
 
 #[ntex::main]
@@ -88,14 +72,7 @@
     });
     let reporter = lookup.reporter.clone();
     let admin = admin::Admin { is_ready, reporter, metrics, status };
-    let server = admin::serve(address, admin)
-        .wrap_err_with(|| format!("admin_address {address} can't be bound"))?;
-    ntex::rt::spawn(async move {
-        if let Err(error) = server.await {
-            log::error!("the admin endpoint ended: {error}");
-        }
-    });
-    Ok(())
+    admin::start(address, admin).wrap_err_with(|| format!("admin_address {address} can't be bound"))
 }
 
 fn serve(
--- a/crates/waxwing-process/src/admin.rs
+++ b/crates/waxwing-process/src/admin.rs
@@ -34,12 +34,22 @@
     after: Option<stamp::Stamp>,
 }
 
-/// Begins to answer on `address` with one worker.
+/// Begins to answer on `address` with one worker, until the process ends.
 ///
 /// # Errors
 ///
 /// Returns an error where the address can't be bound.
-pub fn serve(address: net::SocketAddr, admin: Admin) -> io::Result<ntex::server::Server> {
+pub fn start(address: net::SocketAddr, admin: Admin) -> io::Result<()> {
+    let server = serve(address, admin)?;
+    ntex::rt::spawn(async move {
+        if let Err(error) = server.await {
+            log::error!("the admin endpoint ended: {error}");
+        }
+    });
+    Ok(())
+}
+
+fn serve(address: net::SocketAddr, admin: Admin) -> io::Result<ntex::server::Server> {
     let server = web::HttpServer::new(async move || {
         web::App::new()
             .state(admin.clone())
--- a/crates/waxwing-process/src/arguments.rs
+++ b/crates/waxwing-process/src/arguments.rs
@@ -1,9 +1,14 @@
 //! The command line that all processes share.
 
+use std::fmt;
 use std::path;
+use std::process;
 
 use clap::Parser;
 
+use crate::logs;
+use crate::settings;
+
 /// Exit code where the settings are wrong.
 pub const EXIT_SETTINGS: i32 = 2;
 
@@ -23,3 +28,28 @@
     #[arg(long)]
     pub check: bool,
 }
+
+/// Reads the command line and the settings, and begins the log.
+///
+/// Ends the process where the settings are wrong, and where they were only to be checked.
+pub fn settings_or_exit<T: settings::Settings>() -> T {
+    let arguments = Arguments::parse();
+    let settings = settings::load(&arguments.settings).unwrap_or_else(|error| {
+        eprintln!("{error}");
+        process::exit(EXIT_SETTINGS)
+    });
+    if arguments.check {
+        println!("{}: the settings are right", arguments.settings.display());
+        process::exit(0);
+    }
+    logs::begin();
+    settings
+}
+
+/// Ends the process where it could not run.
+pub fn exit_on_error<E: fmt::Display>(name: &str, ended: Result<(), E>) {
+    if let Err(error) = ended {
+        eprintln!("{name}: {error:#}");
+        process::exit(EXIT_FAILED);
+    }
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -8,26 +8,7 @@
 cargo build --workspace --bins --locked
 bin=target/debug
 example=examples/cooperative
-work=$(mktemp -d)
-pids=()
-
-stop_all() {
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-  rm -rf "$work"
-}
-trap stop_all EXIT
-
-start() {
-  local name=$1
-  shift
-  "$@" >"$work/$name.log" 2>&1 &
-  pids+=("$!")
-}
-
-operate() {
-  "$bin/waxwing" --settings "$example/waxwing.yaml" "$@"
-}
+. scripts/lib.sh
 
 call() {
   "$bin/waxwing-stand-in-caller" --lookup 127.0.10.1:7004 "$@"
@@ -54,15 +35,8 @@
 }
 
 say "starting the platform, two backend servers and two entry VMs"
-start platform "$bin/waxwing-stand-in-platform" --listen 127.0.0.1:7300 \
-  --vms "$example/vms.json"
-start ledger-1 "$bin/waxwing-stand-in-backend" --listen 127.0.11.1:8000 --name ledger-1
-start ledger-2 "$bin/waxwing-stand-in-backend" --listen 127.0.11.2:8000 --name ledger-2
-for vm in lautoka-1 nausori-1; do
-  for process in keeper lookup entry; do
-    start "$vm-$process" "$bin/waxwing-$process" --settings "$example/$vm/$process.yaml"
-  done
-done
+start_backends
+start_example
 
 say "writing records"
 wait_for operate get
--- a/scripts/footprint.sh
+++ b/scripts/footprint.sh
@@ -9,23 +9,7 @@
 cargo build --release --workspace --bins --locked
 bin=target/release
 example=examples/cooperative
-work=$(mktemp -d)
-pids=()
-
-stop_all() {
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-  rm -rf "$work"
-}
-trap stop_all EXIT
-
-start() {
-  local name=$1
-  shift
-  "$@" >"$work/$name.log" 2>&1 &
-  pids+=("$!")
-  echo "$!" >"$work/$name.pid"
-}
+. scripts/lib.sh
 
 # Prints a process's memory in MB and its processor time in clock ticks.
 usage() {
@@ -44,18 +28,12 @@
   echo "$name: $(usage "$name" | awk '{ print $1, $2 }'), idle $(( after - before )) ticks in 10 s"
 }
 
-start platform "$bin/waxwing-stand-in-platform" --listen 127.0.0.1:7300 \
-  --vms "$example/vms.json"
-for vm in lautoka-1 nausori-1; do
-  for process in keeper lookup entry; do
-    start "$vm-$process" "$bin/waxwing-$process" --settings "$example/$vm/$process.yaml"
-  done
-done
+start_example
 sleep 2
-"$bin/waxwing" --settings "$example/waxwing.yaml" apply "$example/records.yaml" >"$work/applied"
+operate apply "$example/records.yaml" >"$work/applied"
 for blocks in "$@"; do
   "$bin/waxwing-measure" write-blocks "$blocks" lautoka >"$work/blocks.yaml"
-  "$bin/waxwing" --settings "$example/waxwing.yaml" apply "$work/blocks.yaml" >"$work/applied"
+  operate apply "$work/blocks.yaml" >"$work/applied"
   sleep 20
   echo "$blocks blocks, $(getconf CLK_TCK) ticks a second:"
   for process in keeper lookup entry; do idle "lautoka-1-$process"; done
