refactor(entry): part the way of a request by step

carry.rs had grown to 657 lines: what is known of a request, where it goes and its body are modules of their own now, and so are a borrower's questions.

--- a/crates/waxwing-contract/src/borrower.rs
+++ b/crates/waxwing-contract/src/borrower.rs
@@ -7,11 +7,10 @@
 use waxwing_units::rate;
 use waxwing_units::time as units_time;
 
+use crate::demand;
 use crate::message;
 use crate::options;
-
-/// How long before the end of a grant its unspent tokens are given back.
-const GIVE_BACK_BEFORE: time::Duration = time::Duration::from_millis(150);
+use crate::question;
 
 /// Names a request of this machine that waits for a token.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -62,46 +61,6 @@
     pub floor: Option<(id::FailureDomainId, id::VmId)>,
 }
 
-/// A question to a holder.
-#[derive(Debug, Clone)]
-struct Question {
-    /// The request that needs the token; none where tokens are fetched ahead.
-    ticket: Option<Ticket>,
-    part: message::PartName,
-    to: id::VmId,
-    nonce: id::Nonce,
-    ahead: rate::Tokens,
-    asked_at: units_time::MonoInstant,
-    sent_at: units_time::MonoInstant,
-    attempts: u32,
-    give_up_at: units_time::MonoInstant,
-}
-
-/// A granted token that may be spent a little later.
-#[derive(Debug, Clone)]
-struct Delayed {
-    ticket: Ticket,
-    grant: Grant,
-    start_at: units_time::MonoInstant,
-}
-
-/// A grant that is not settled yet.
-#[derive(Debug, Clone)]
-struct Grant {
-    part: message::PartName,
-    to: id::VmId,
-    nonce: id::Nonce,
-    unspent: rate::Tokens,
-    valid_until: units_time::MonoInstant,
-}
-
-/// A question whose request has gone; a late grant for it is given back whole.
-#[derive(Debug, Clone)]
-struct Abandoned {
-    nonce: id::Nonce,
-    until: units_time::MonoInstant,
-}
-
 /// Messages and decisions that a call brought about.
 #[derive(Debug, Default)]
 pub struct Outbox {
@@ -121,40 +80,16 @@
     pub(crate) decided: Vec<(Ticket, Decision)>,
 }
 
-/// Counts requests to tell how many tokens to ask for ahead.
-#[derive(Debug, Clone)]
-struct Demand {
-    window_began_at: units_time::MonoInstant,
-    current: u64,
-    previous: u64,
-}
-
-impl Demand {
-    fn count(&mut self, now: units_time::MonoInstant, window: time::Duration) {
-        let age = now.since(self.window_began_at);
-        if age >= window {
-            self.previous = if age < window * 2 { self.current } else { 0 };
-            self.current = 0;
-            self.window_began_at = now;
-        }
-        self.current += 1;
-    }
-
-    fn ahead(&self) -> rate::Tokens {
-        rate::Tokens(self.previous.max(self.current.saturating_sub(1)))
-    }
-}
-
 /// Asks holders for tokens and keeps those that were granted.
 #[derive(Debug)]
 pub struct Borrower {
     options: options::Options,
     next_number: u64,
-    questions: Vec<Question>,
-    delayed: Vec<Delayed>,
-    stock: Vec<Grant>,
-    abandoned: Vec<Abandoned>,
-    demand: Demand,
+    questions: Vec<question::Question>,
+    delayed: Vec<question::Delayed>,
+    stock: Vec<question::Grant>,
+    abandoned: Vec<question::Abandoned>,
+    demand: demand::Demand,
     silent_base: Option<units_time::MonoInstant>,
     round_trip: time::Duration,
 }
@@ -169,7 +104,7 @@
             delayed: Vec::new(),
             stock: Vec::new(),
             abandoned: Vec::new(),
-            demand: Demand { window_began_at: now, current: 0, previous: 0 },
+            demand: demand::Demand { window_began_at: now, current: 0, previous: 0 },
             silent_base: None,
             round_trip: time::Duration::ZERO,
         }
@@ -224,7 +159,7 @@
         grant.unspent.0 -= 1;
         if grant.unspent.0 == 0 {
             let grant = self.stock.remove(0);
-            effects.sends.push(settle(&grant));
+            effects.sends.push(question::settle(&grant));
         }
         true
     }
@@ -266,14 +201,29 @@
         to: id::VmId,
         ahead: rate::Tokens,
         give_up_at: units_time::MonoInstant,
-    ) -> Question {
+    ) -> question::Question {
         let nonce = id::Nonce(self.next_number());
         let (asked_at, sent_at) = (now, now);
-        Question { ticket, part, to, nonce, ahead, asked_at, sent_at, attempts: 1, give_up_at }
+        question::Question {
+            ticket,
+            part,
+            to,
+            nonce,
+            ahead,
+            asked_at,
+            sent_at,
+            attempts: 1,
+            give_up_at,
+        }
     }
 
-    fn send(&mut self, now: units_time::MonoInstant, question: Question, effects: &mut Effects) {
-        effects.sends.push(ask(now, &question, self.round_trip));
+    fn send(
+        &mut self,
+        now: units_time::MonoInstant,
+        question: question::Question,
+        effects: &mut Effects,
+    ) {
+        effects.sends.push(question::ask(now, &question, self.round_trip));
         self.questions.push(question);
     }
 
@@ -295,8 +245,8 @@
         let question = self.questions.swap_remove(at);
         self.note_round_trip(now, &question);
         let valid_until = question.asked_at.after(self.options.grant_use());
-        let Question { ticket, part, to, .. } = question;
-        let grant = Grant { part, to, nonce, unspent: tokens, valid_until };
+        let question::Question { ticket, part, to, .. } = question;
+        let grant = question::Grant { part, to, nonce, unspent: tokens, valid_until };
         match ticket {
             Some(ticket) if tokens.0 > 0 => {
                 self.start(now, ticket, grant, start_after, effects);
@@ -308,7 +258,7 @@
     }
 
     /// Keeps an average of round trips to the base part's holder.
-    fn note_round_trip(&mut self, now: units_time::MonoInstant, question: &Question) {
+    fn note_round_trip(&mut self, now: units_time::MonoInstant, question: &question::Question) {
         if question.attempts > 1 || question.part != message::PartName::Base {
             return;
         }
@@ -323,13 +273,13 @@
         &mut self,
         now: units_time::MonoInstant,
         ticket: Ticket,
-        mut grant: Grant,
+        mut grant: question::Grant,
         start_after: time::Duration,
         effects: &mut Effects,
     ) {
         if !start_after.is_zero() {
             let start_at = now.after(start_after);
-            self.delayed.push(Delayed { ticket, grant, start_at });
+            self.delayed.push(question::Delayed { ticket, grant, start_at });
             return;
         }
         if now >= grant.valid_until {
@@ -339,7 +289,7 @@
         grant.unspent.0 -= 1;
         effects.decided.push((ticket, Decision::Admitted));
         if grant.unspent.0 == 0 {
-            effects.sends.push(settle(&grant));
+            effects.sends.push(question::settle(&grant));
         } else {
             self.stock.push(grant);
         }
@@ -393,7 +343,7 @@
         &mut self,
         now: units_time::MonoInstant,
         ticket: Ticket,
-        question: &Question,
+        question: &question::Question,
         targets: &Targets,
         effects: &mut Effects,
     ) {
@@ -427,21 +377,21 @@
 
     fn start_delayed(&mut self, now: units_time::MonoInstant, effects: &mut Effects) {
         let (due, later) =
-            self.delayed.drain(..).partition(|delayed: &Delayed| delayed.start_at <= now);
+            self.delayed.drain(..).partition(|delayed: &question::Delayed| delayed.start_at <= now);
         self.delayed = later;
-        let due: Vec<Delayed> = due;
+        let due: Vec<question::Delayed> = due;
         for delayed in due {
             self.start(now, delayed.ticket, delayed.grant, time::Duration::ZERO, effects);
         }
     }
 
     fn give_up(&mut self, now: units_time::MonoInstant, effects: &mut Effects) {
-        let (over, open): (Vec<Question>, Vec<Question>) =
+        let (over, open): (Vec<question::Question>, Vec<question::Question>) =
             self.questions.drain(..).partition(|question| question.give_up_at <= now);
         self.questions = open;
         for question in over {
             let until = question.asked_at.after(self.options.grant_hold() * 2);
-            self.abandoned.push(Abandoned { nonce: question.nonce, until });
+            self.abandoned.push(question::Abandoned { nonce: question.nonce, until });
             if let Some(ticket) = question.ticket {
                 effects.decided.push((ticket, Decision::Refused(Refusal::Unreachable)));
             }
@@ -467,7 +417,7 @@
             }
             question.attempts += 1;
             question.sent_at = now;
-            effects.sends.push(ask(now, question, self.round_trip));
+            effects.sends.push(question::ask(now, question, self.round_trip));
         }
         for nonce in failed {
             self.question_failed(now, nonce, targets, effects);
@@ -486,7 +436,7 @@
         };
         let question = self.questions.swap_remove(at);
         let until = question.asked_at.after(self.options.grant_hold() * 2);
-        self.abandoned.push(Abandoned { nonce, until });
+        self.abandoned.push(question::Abandoned { nonce, until });
         if question.part == message::PartName::Base {
             self.silent_base = Some(now.after(self.options.probe_interval));
         }
@@ -497,9 +447,9 @@
 
     fn give_stock_back(&mut self, now: units_time::MonoInstant, effects: &mut Effects) {
         self.stock.retain(|grant| {
-            let is_kept = now.after(GIVE_BACK_BEFORE) < grant.valid_until;
+            let is_kept = now.after(question::GIVE_BACK_BEFORE) < grant.valid_until;
             if !is_kept {
-                effects.sends.push(settle(grant));
+                effects.sends.push(question::settle(grant));
             }
             is_kept
         });
@@ -530,7 +480,7 @@
         let questions = self.questions.iter().map(|q| q.sent_at.after(timeout).min(q.give_up_at));
         let delayed = self.delayed.iter().map(|delayed| delayed.start_at);
         let stock = self.stock.iter().map(|grant| {
-            let before_ns = GIVE_BACK_BEFORE.as_nanos() as u64;
+            let before_ns = question::GIVE_BACK_BEFORE.as_nanos() as u64;
             units_time::MonoInstant(grant.valid_until.0.saturating_sub(before_ns))
         });
         questions.chain(delayed).chain(stock).chain(self.silent_base).min()
@@ -554,26 +504,3 @@
 fn refused_exhausted() -> Decision {
     Decision::Refused(Refusal::Exhausted { retry_after_ms: units_time::Millis(0) })
 }
-
-fn ask(now: units_time::MonoInstant, question: &Question, round_trip: time::Duration) -> Send {
-    let age = now.since(question.asked_at) + round_trip / 2;
-    let wait = question.give_up_at.since(now).as_millis();
-    let body = message::Body::Ask {
-        part: question.part.clone(),
-        nonce: question.nonce,
-        needed: rate::Tokens(u64::from(question.ticket.is_some())),
-        ahead: question.ahead,
-        wait_ms: units_time::Millis(u64::try_from(wait).unwrap_or(u64::MAX)),
-        age_us: units_time::Micros::from_duration(age),
-    };
-    (question.to.clone(), body)
-}
-
-fn settle(grant: &Grant) -> Send {
-    let body = message::Body::Settle {
-        part: grant.part.clone(),
-        nonce: grant.nonce,
-        unspent: grant.unspent,
-    };
-    (grant.to.clone(), body)
-}
--- a/crates/waxwing-entry/src/lib.rs
+++ b/crates/waxwing-entry/src/lib.rs
@@ -3,6 +3,9 @@
 //! The way of a request, module by module:
 //!
 //! * [`carry`]: from the caller's request to the answer.
+//! * `journey`: what is known of a request on its way, and the checks before it may run.
+//! * `target`: where it is attempted next, and the wait for a slot there.
+//! * `source`: its body before it is known which attempt sends it.
 //! * [`headers`]: what of a caller's headers is used, and what a backend server gets to see.
 //! * [`places`]: whether a request is attempted here or at another entry VM.
 //! * [`pools`]: slots at backend servers, and the requests that wait for them.
@@ -18,10 +21,13 @@
 pub mod carry;
 pub mod entry;
 pub mod headers;
+mod journey;
 pub mod places;
 pub mod pools;
 pub mod probe;
 pub mod refusal;
 pub mod settings;
+mod source;
+mod target;
 pub mod upload;
 pub mod upstream;
