--- a/crates/waxwing-cli/src/show.rs
+++ b/crates/waxwing-cli/src/show.rs
@@ -80,6 +80,16 @@
     shown.join(" ")
 }
 
+/// Shows which share of each service's traffic goes to other regions, in thousandths.
+fn shares(status: &keeper::Status) -> String {
+    let shown: Vec<String> = status
+        .shares
+        .iter()
+        .map(|share| format!("{}:{}", share.service, share.away_permille))
+        .collect();
+    if shown.is_empty() { "-".to_owned() } else { shown.join(" ") }
+}
+
 /// Shows the state of all machines.
 pub fn status(machines: &[keeper::Status]) -> String {
     let row = |status: &keeper::Status| {
@@ -96,6 +106,7 @@
             if seats.is_empty() { "-".to_owned() } else { seats.join(" ") },
             status.accounts.iter().filter(|account| account.base.is_some()).count().to_string(),
             unconfirmed.to_string(),
+            shares(status),
             status.drained.len().to_string(),
         ]
     };
@@ -109,6 +120,7 @@
         "SEATS",
         "HOLDS",
         "UNCONFIRMED",
+        "SHIFTS",
         "DRAINS",
     ];
     table(&head, &machines.iter().map(row).collect::<Vec<_>>())
--- a/crates/waxwing-keeper/src/keeper.rs
+++ b/crates/waxwing-keeper/src/keeper.rs
@@ -250,6 +250,8 @@
     pub seats: Vec<SeatCount>,
     /// The accounts of all organisations.
     pub accounts: Vec<accounts::Summary>,
+    /// The share of each service's traffic that the machine sends to other regions.
+    pub shares: Vec<fleet::Share>,
     /// What is drained.
     pub drained: Vec<waxwing_record::record::DrainTarget>,
 }
@@ -279,6 +281,7 @@
             reachable: reachable.into_iter().map(|reachable| reachable.entry_vm.vm).collect(),
             seats: agreed.seats.iter().map(count).filter(|count| count.seats > 0).collect(),
             accounts: self.accounts.summaries(),
+            shares: self.load.lock().shares.clone(),
             drained: agreed.snapshot.drained.clone(),
         }
     }
--- a/crates/waxwing-session/src/deployment.rs
+++ b/crates/waxwing-session/src/deployment.rs
@@ -391,7 +391,11 @@
 }
 
 /// Returns the path of a binary that was built beside the running test.
-fn binary_path(binary: &str) -> path::PathBuf {
+///
+/// # Panics
+///
+/// Panics where the running test's own path is not known.
+pub fn binary_path(binary: &str) -> path::PathBuf {
     let mut path = std::env::current_exe().expect("the test's own path");
     path.pop();
     if path.ends_with("deps") {
--- a/crates/waxwing-session/tests/session/configuration.rs
+++ b/crates/waxwing-session/tests/session/configuration.rs
@@ -154,3 +154,48 @@
     set_faults(&deployment, &json!({}));
     deployment::wait_until("keys are taken again", || ask().starts_with("200"));
 }
+
+#[test]
+fn a_slow_store_delays_changes_and_nothing_else() {
+    let (deployment, key) = support::start(26);
+    set_faults(&deployment, &json!({"delay_ms": 900}));
+    let began_at = time::Instant::now();
+    for vm in support::VMS {
+        for _ in 0..20 {
+            let seen = support::call(&deployment, vm, support::keyed("GET", "/ledger/a", &key));
+            assert!(seen.starts_with("200"), "{vm}: {seen}");
+        }
+    }
+    assert!(began_at.elapsed() < time::Duration::from_secs(8), "{:?}", began_at.elapsed());
+    assert_eq!(deployment.waxwing(&["key", "withdraw", "kiln-1"]).0, 0);
+    for vm in support::VMS {
+        deployment::wait_until("the withdrawal is in force", || {
+            support::call(&deployment, vm, support::keyed("GET", "/ledger/a", &key))
+                .starts_with("403")
+        });
+    }
+}
+
+#[test]
+fn operators_that_race_are_told_which_record_changed() {
+    let (deployment, _) = support::start(27);
+    set_faults(&deployment, &json!({"delay_ms": 300}));
+    let apply = |rate: &str| {
+        let path = std::env::temp_dir().join(format!("waxwing-{}-{rate}.yaml", std::process::id()));
+        let records =
+            support::records(&deployment).replace("rate: 500/s", &format!("rate: {rate}/s"));
+        fs::write(&path, records).expect("written");
+        let ended = deployment.waxwing(&["apply", &path.display().to_string()]);
+        fs::remove_file(&path).expect("removed");
+        ended
+    };
+    let ended = thread::scope(|scope| {
+        let other = scope.spawn(|| apply("700"));
+        [apply("600"), other.join().expect("no panic")]
+    });
+    let mut codes = ended.each_ref().map(|(code, _)| *code);
+    codes.sort_unstable();
+    assert_eq!(codes, [0, 3], "{ended:?}");
+    let loser = ended.iter().find(|(code, _)| *code == 3).expect("one lost");
+    assert!(loser.1.contains("organisation/kiln") && loser.1.contains("conflict"), "{}", loser.1);
+}
--- a/crates/waxwing-session/tests/session/main.rs
+++ b/crates/waxwing-session/tests/session/main.rs
@@ -1,6 +1,7 @@
 //! Whole sessions over the real processes.
 
 mod configuration;
+mod examples;
 mod failures;
 mod path;
 mod steering;
--- a/crates/waxwing-session/tests/session/truth.rs
+++ b/crates/waxwing-session/tests/session/truth.rs
@@ -186,6 +186,9 @@
     assert!(support::call(&deployment, VM, in_path).starts_with("400 not-run"));
     let seen = deployment.read(deployment.backend(1), "/stand-in/runs").to_string();
     assert!(seen.contains("/ledger/stray") && seen.contains("x-kept"));
+    for header in ["waxwing-deadline-ms", "waxwing-organisation"] {
+        assert!(seen.contains(header), "the backend server is not told {header}");
+    }
     let listed = deployment.read(deployment.platform(), "/v1/list?prefix=").to_string();
     let (_, timeline) = deployment.waxwing(&["timeline"]);
     let logs = String::from_utf8_lossy(&deployment.logs().expect("logs")).into_owned();
