perf(keeper): hand seats on when leaving

Cause: a leaving machine left its seats vacant, and others took them at their next reading of the list of machines, up to 2 s later, and then waited for old grants to expire.

Change: the machine that leaves writes another one of its failure domain into the seat record, after it has stopped using its parts.

Ruled out: heirs in other failure domains.

Schedules hold the bound with handed-on seats.

--- a/crates/waxwing-contract/src/account.rs
+++ b/crates/waxwing-contract/src/account.rs
@@ -263,13 +263,13 @@
                 let start_after = start_after_ms.duration();
                 self.borrower.give_back_late_grant(part, &from.vm, nonce, tokens, &mut effects);
                 self.borrower.granted(now, nonce, tokens, start_after, &mut effects);
-                self.apply_effects(now, effects, out);
+                self.apply_effects(effects, out);
             }
             Body::Deny { nonce, denial, .. } => {
                 let targets = self.targets();
                 let mut effects = borrower::Effects::default();
                 self.borrower.denied(now, nonce, denial, &targets, &mut effects);
-                self.apply_effects(now, effects, out);
+                self.apply_effects(effects, out);
             }
             Body::LeaseAsk { failure_domain, nonce } => {
                 self.answer_lease_ask(now, from, failure_domain, nonce, out);
@@ -437,16 +437,11 @@
         effects: borrower::Effects,
         out: &mut borrower::Outbox,
     ) {
-        self.apply_effects(now, effects, out);
+        self.apply_effects(effects, out);
         self.run_local(now, out);
     }
 
-    fn apply_effects(
-        &mut self,
-        _now: units_time::MonoInstant,
-        effects: borrower::Effects,
-        out: &mut borrower::Outbox,
-    ) {
+    fn apply_effects(&mut self, effects: borrower::Effects, out: &mut borrower::Outbox) {
         out.decided.extend(effects.decided);
         for (to, body) in effects.sends {
             self.send(&to, None, body, out);
--- a/crates/waxwing-contract/src/seat.rs
+++ b/crates/waxwing-contract/src/seat.rs
@@ -72,8 +72,6 @@
 /// What a machine knows of another one when it thinks about taking over a seat.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Sighting {
-    /// The machine.
-    pub vm: id::VmId,
     /// When anything was last heard from it, or when this machine started.
     pub heard_at: units_time::MonoInstant,
     /// Whether the platform's list, read after that, still names it.
@@ -111,12 +109,15 @@
     (claimed != *table).then_some(claimed)
 }
 
-/// Returns the table without the seats of `me`, or none where it has none.
-pub fn give_up(table: &SeatTable, me: &id::VmId) -> Option<SeatTable> {
+/// Returns the table in which the seats of `me` go to `heirs`, or are free where there are none;
+/// none where `me` has no seat.
+///
+/// The machine must have stopped using its parts before.
+pub fn give_up(table: &SeatTable, me: &id::VmId, heirs: &[id::VmId]) -> Option<SeatTable> {
     let mut given_up = table.clone();
-    for holder in &mut given_up.holders {
+    for (index, holder) in given_up.holders.iter_mut().enumerate() {
         if holder.as_ref() == Some(me) {
-            *holder = None;
+            *holder = preferred(&table.failure_domain, index, heirs).cloned();
         }
     }
     (given_up != *table).then_some(given_up)
--- a/crates/waxwing-keeper/src/platform.rs
+++ b/crates/waxwing-keeper/src/platform.rs
@@ -6,6 +6,7 @@
 use ntex::time as ntex_time;
 use waxwing_contract::options;
 use waxwing_contract::seat;
+use waxwing_machine::entry_vm;
 use waxwing_machine::fleet;
 use waxwing_platform::http;
 use waxwing_platform::store;
@@ -138,7 +139,7 @@
 /// Takes the seats that are free and that this machine is preferred for.
 async fn take_seats(keeper: &keeper::Keeper, platform: &http::Platform) {
     let me = keeper.entry_vm();
-    if me.phase != waxwing_machine::entry_vm::Phase::Live {
+    if me.phase != entry_vm::Phase::Live {
         return;
     }
     let agreed = keeper.records.get();
@@ -166,7 +167,7 @@
         .into_iter()
         .map(|reachable| reachable.entry_vm)
         .chain([me])
-        .filter(|vm| vm.phase == waxwing_machine::entry_vm::Phase::Live)
+        .filter(|vm| vm.phase == entry_vm::Phase::Live)
         .filter(|vm| !has_machines || vm.failure_domain == *domain)
         .map(|vm| vm.vm)
         .collect();
@@ -182,9 +183,9 @@
     let fleet = keeper.fleet.lock();
     let sighting = match fleet.member(vm) {
         Some(fleet::Member { heard_at, is_listed, .. }) => {
-            seat::Sighting { vm: vm.clone(), heard_at: *heard_at, is_listed: *is_listed }
+            seat::Sighting { heard_at: *heard_at, is_listed: *is_listed }
         }
-        None => seat::Sighting { vm: vm.clone(), heard_at: keeper.started_at, is_listed: false },
+        None => seat::Sighting { heard_at: keeper.started_at, is_listed: false },
     };
     seat::may_take_over(&options::Options::default(), clock::now(), &sighting)
 }
@@ -216,12 +217,28 @@
     }
 }
 
+/// Returns the machines that the seats of a failure domain go to when this machine leaves.
+///
+/// Only machines of that failure domain are heirs: a floor part that is held elsewhere is of no
+/// use when the failure domain is cut off.
+fn heirs(keeper: &keeper::Keeper, domain: &id::FailureDomainId) -> Vec<id::VmId> {
+    let reachable = keeper.fleet.lock().reachable(clock::now());
+    reachable
+        .into_iter()
+        .map(|reachable| reachable.entry_vm)
+        .filter(|vm| vm.phase == entry_vm::Phase::Live && vm.failure_domain == *domain)
+        .filter(|vm| vm.vm != keeper.me.vm)
+        .map(|vm| vm.vm)
+        .collect()
+}
+
 /// Gives up all seats of this machine: first the parts, then the records.
 pub async fn give_up_seats(keeper: &keeper::Keeper, platform: &http::Platform) {
     keeper.accounts.give_up_seats();
     let agreed = keeper.records.get();
     for at in &agreed.seats {
-        if let Some(table) = seat::give_up(&at.table, &keeper.me.vm) {
+        let heirs = heirs(keeper, &at.table.failure_domain);
+        if let Some(table) = seat::give_up(&at.table, &keeper.me.vm, &heirs) {
             write_seats(keeper, platform, at.revision, &table).await;
         }
     }
--- a/crates/waxwing-measure/tests/contract_bound.rs
+++ b/crates/waxwing-measure/tests/contract_bound.rs
@@ -289,9 +289,12 @@
 
     fn give_up(&mut self, index: usize) {
         let vm = self.fleet.vms[index].id.clone();
+        let heir = self.any_vm();
+        let heir = self.fleet.vms[heir].id.clone();
+        let heirs = if self.rng.random_bool(0.5) && heir != vm { vec![heir] } else { vec![] };
         self.fleet.vms[index].account.give_up_seats();
         for table in &mut self.tables {
-            if let Some(changed) = seat::give_up(table, &vm) {
+            if let Some(changed) = seat::give_up(table, &vm, &heirs) {
                 *table = changed;
             }
         }
@@ -323,11 +326,7 @@
             return false;
         };
         let taker = &self.fleet.vms[taker];
-        let sighting = seat::Sighting {
-            vm: self.fleet.vms[other].id.clone(),
-            heard_at: taker.clock(since_ns),
-            is_listed: false,
-        };
+        let sighting = seat::Sighting { heard_at: taker.clock(since_ns), is_listed: false };
         let options = options::Options::default();
         seat::may_take_over(&options, taker.clock(now_ns), &sighting)
     }
--- a/crates/waxwing-session/tests/session/failures.rs
+++ b/crates/waxwing-session/tests/session/failures.rs
@@ -190,3 +190,34 @@
     deployment::wait_until("it has confirmed its seats", || !unconfirmed(&deployment));
     support::wait_for_service(&deployment, support::VMS[0], &key);
 }
+
+/// How long requests may be refused while seats go from a leaving machine to another.
+const HAND_OVER_MAX: time::Duration = time::Duration::from_secs(5);
+
+#[test]
+fn a_leaving_machine_hands_its_seats_on() {
+    let (mut deployment, key) = support::start(37);
+    let (leaving, heir, staying) = (support::VMS[0], "vm-lautoka-2", support::VMS[1]);
+    deployment.add_vm(heir, "lautoka");
+    deployment.list_vms(&[leaving, heir, staying]);
+    deployment::wait_until("the new machine is heard", || {
+        deployment.looked_up(leaving).contains(&heir.to_owned())
+            && deployment.looked_up(heir).len() == 3
+    });
+    for process in ["waxwing-keeper", "waxwing-lookup", "waxwing-entry"] {
+        deployment.signal(&format!("{leaving}.{process}"), "TERM");
+    }
+    let began_at = time::Instant::now();
+    let mut answered_at = began_at;
+    let mut longest = time::Duration::ZERO;
+    while began_at.elapsed() < time::Duration::from_secs(8) {
+        let request = support::keyed("POST", "/ledger/a", &key);
+        if support::call(&deployment, staying, request).starts_with("200") {
+            longest = longest.max(answered_at.elapsed());
+            answered_at = time::Instant::now();
+        }
+    }
+    longest = longest.max(answered_at.elapsed());
+    println!("refused for {longest:?} at most while seats were handed on");
+    assert!(longest < HAND_OVER_MAX, "{longest:?}");
+}
