fix(platform): tell a refused connection as not written

Cause: the HTTP client reports a refused connection as a closed one, so a write to a store that nobody listens for was told as 'unknown' in place of 'not written'.

Before: NoAnswer. After: Unreachable.

Adds leases and cold starts to the stand-ins.

--- a/crates/waxwing-platform/src/http.rs
+++ b/crates/waxwing-platform/src/http.rs
@@ -1,5 +1,6 @@
 //! The platform's services over HTTP with JSON.
 
+use std::io;
 use std::net;
 use std::time;
 
@@ -48,6 +49,11 @@
 fn unanswered(error: client_error::ClientError) -> store::Error {
     use client_error::{ClientError, ConnectError};
     match error {
+        ClientError::Connect(ConnectError::Disconnected(Some(error)))
+            if error.kind() == io::ErrorKind::ConnectionRefused =>
+        {
+            store::Error::Unreachable(error.to_string())
+        }
         ClientError::Connect(ConnectError::Disconnected(_)) => {
             store::Error::NoAnswer("the connection was closed".to_owned())
         }
--- a/crates/waxwing-stand-ins/src/backend.rs
+++ b/crates/waxwing-stand-ins/src/backend.rs
@@ -48,6 +48,10 @@
     pub mode: Mode,
     /// How long a request takes, in milliseconds.
     pub work_ms: u64,
+    /// How many requests from now on take `cold_work_ms` besides, as a cold cache makes them.
+    pub cold_requests: u64,
+    /// How much longer a request takes while the server is cold, in milliseconds.
+    pub cold_work_ms: u64,
     /// Whether it says that it takes no new work.
     pub is_draining: bool,
     /// The slots in use that it reports, if not the true ones.
@@ -113,7 +117,12 @@
         }
         data.in_flight += 1;
         data.most_in_flight = data.most_in_flight.max(data.in_flight);
-        Some((InFlight(self), data.control.clone()))
+        let mut control = data.control.clone();
+        if data.control.cold_requests > 0 {
+            data.control.cold_requests -= 1;
+            control.work_ms += control.cold_work_ms;
+        }
+        Some((InFlight(self), control))
     }
 }
 
--- a/crates/waxwing-stand-ins/src/platform.rs
+++ b/crates/waxwing-stand-ins/src/platform.rs
@@ -29,9 +29,20 @@
     pub lost_answers: u64,
 }
 
+/// A write whose value may go by itself.
+#[derive(Debug, Deserialize)]
+struct LeasedWrite {
+    #[serde(flatten)]
+    write: store::Write,
+    /// How long the value stays unless it is written again, in milliseconds.
+    #[serde(default)]
+    lease_ms: Option<u64>,
+}
+
 #[derive(Debug, Default)]
 struct Data {
     revision: u64,
+    leases: collections::BTreeMap<String, time::Instant>,
     entries: collections::BTreeMap<String, store::Entry>,
     vms: Vec<entry_vm::EntryVm>,
     control: Control,
@@ -75,7 +86,27 @@
         data.control.clone()
     }
 
+    /// Removes values whose leases have lapsed.
+    fn lapse(&self) {
+        let mut data = self.data.lock();
+        let now = time::Instant::now();
+        let lapsed: Vec<String> = data
+            .leases
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in lapsed {
+            data.leases.remove(&key);
+            if data.entries.remove(&key).is_some() {
+                data.revision += 1;
+            }
+        }
+        self.changed.send_replace(data.revision);
+    }
+
     fn list(&self, prefix: &str) -> store::Listing {
+        self.lapse();
         let data = self.data.lock();
         let entries = data.entries.range(prefix.to_owned()..);
         let entries = entries.take_while(|(key, _)| key.starts_with(prefix));
@@ -85,7 +116,8 @@
         }
     }
 
-    fn write(&self, write: store::Write) -> store::Written {
+    fn write(&self, LeasedWrite { write, lease_ms }: LeasedWrite) -> store::Written {
+        self.lapse();
         let mut data = self.data.lock();
         let current = data.entries.get(&write.key).map_or(id::Revision(0), |e| e.revision);
         if current != write.expected {
@@ -93,6 +125,11 @@
         }
         data.revision += 1;
         let revision = id::Revision(data.revision);
+        data.leases.remove(&write.key);
+        if let Some(lease_ms) = lease_ms {
+            let until = time::Instant::now() + time::Duration::from_millis(lease_ms);
+            data.leases.insert(write.key.clone(), until);
+        }
         match write.value {
             Some(value) => {
                 let entry = store::Entry { key: write.key.clone(), value, revision };
@@ -139,14 +176,14 @@
 
 async fn write(
     platform: web::types::State<Platform>,
-    body: web::types::Json<store::Write>,
+    body: web::types::Json<LeasedWrite>,
 ) -> web::HttpResponse {
     let control = platform.begin();
     if misbehave(&control).await {
         return out();
     }
     let write = body.into_inner();
-    let size = write.value.as_ref().map_or(0, |value| value.to_string().len());
+    let size = write.write.value.as_ref().map_or(0, |value| value.to_string().len());
     if size > VALUE_MAX_BYTES {
         return web::HttpResponse::PayloadTooLarge().body("a value has at most a megabyte");
     }
