--- a/crates/waxwing-measure/src/capacity.rs
+++ b/crates/waxwing-measure/src/capacity.rs
@@ -140,6 +140,33 @@
     ]
 }
 
+/// Returns the sizes of the messages between the processes of one machine, without the view of the
+/// machines and the records, which grow with them.
+pub fn local_message_sizes() -> Vec<MessageSize> {
+    let nonce = id::Nonce(1_000_000);
+    let stamp = waxwing_timeline::stamp::Stamp { wall_ms: 1_700_000_000_000, counter: 3 };
+    let charge = local::ToKeeper::Charge {
+        nonce,
+        organisation: name("organisation-1"),
+        request: name("r-0123456789abcdef"),
+        wait_ms: units_time::Millis(300),
+        stamp,
+    };
+    let charged = local::FromKeeper::Charged { nonce, decision: Ok(()), stamp };
+    let confirmed = local::FromKeeper::Confirmed { ago_ms: units_time::Millis(3_000) };
+    let load = fleet::Load { in_flight: 1_000, free_slots: 1_000, shares: Vec::new() };
+    let len = |encoded: frame::Result<Vec<u8>>| encoded.map_or(0, |bytes| bytes.len());
+    vec![
+        MessageSize { message: "charge", len_bytes: len(frame::encode(&charge)) },
+        MessageSize { message: "charged", len_bytes: len(frame::encode(&charged)) },
+        MessageSize { message: "confirmed", len_bytes: len(frame::encode(&confirmed)) },
+        MessageSize {
+            message: "load",
+            len_bytes: len(frame::encode(&local::ToKeeper::Load(load))),
+        },
+    ]
+}
+
 /// Bytes and processor time against the number of machines.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct FleetCost {
