--- a/crates/waxwing-cli/src/run.rs
+++ b/crates/waxwing-cli/src/run.rs
@@ -323,6 +323,9 @@
             false => print!("{}", merge::Lines(&events)),
         }
         if !timeline.follow {
+            if events.is_empty() {
+                eprintln!("no process remembers such an event");
+            }
             report_silent(&silent);
             return Ok(if silent.is_empty() { Exit::Done } else { Exit::Failed });
         }
