perf(contract): hand out no tokens ahead of need from small buckets

Cause: of a bucket of a few tokens, one fetched ahead and not yet needed by one machine is a refusal at another, although a central bucket would admit.

Change: eight tokens, and half of the bucket, are never handed out ahead.

--- a/crates/waxwing-contract/src/holder.rs
+++ b/crates/waxwing-contract/src/holder.rs
@@ -14,6 +14,11 @@
 /// Later than any instant at which something happens.
 const NEVER: units_time::MonoInstant = units_time::MonoInstant(u64::MAX);
 
+/// Tokens that are not handed out ahead of need.
+///
+/// A small bucket has none to spare: one machine's token ahead is another one's refusal.
+const KEPT_FROM_AHEAD: rate::Tokens = rate::Tokens(8);
+
 /// A grant that is neither settled nor expired.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Outstanding {
@@ -252,7 +257,8 @@
         Answer::Granted { tokens, start_after }
     }
 
-    /// Returns the part of `ahead` that leaves the bucket at least half full.
+    /// Returns the part of `ahead` that leaves the bucket at least half full, and with at least
+    /// [`KEPT_FROM_AHEAD`].
     fn spare_ahead(
         &self,
         left: rate::NanoTokens,
@@ -260,7 +266,8 @@
         ahead: rate::Tokens,
     ) -> rate::Tokens {
         let half = rate::NanoTokens(part.burst_tokens.0 / 2);
-        left.minus(half).whole().min(ahead)
+        let kept = half.max(KEPT_FROM_AHEAD.nano());
+        left.minus(kept).whole().min(ahead)
     }
 
     fn exhausted(&self, start_after: time::Duration) -> message::Denial {
--- a/crates/waxwing-contract/tests/contract/holder.rs
+++ b/crates/waxwing-contract/tests/contract/holder.rs
@@ -145,3 +145,17 @@
     assert!(!is_granted(early), "it was made 70 ms after the first one");
     assert!(is_granted(holder.ask(at_ms(2_141), &made(3, 40))), "it was made 101 ms after it");
 }
+
+#[test]
+fn tokens_ahead_come_from_what_a_large_bucket_can_spare() {
+    // (burst, tokens that are granted ahead of need besides the one that is needed)
+    for (burst, spared) in [(1, 0), (8, 0), (10, 1), (40, 19)] {
+        let own = part(100, burst);
+        let mut holder = holder::Holder::new(options::Options::default(), own, at_ms(0));
+        let asked = holder::Ask { ahead: rate::Tokens(1_000), ..ask(1, 1) };
+        let granted = holder.ask(at_ms(2_000), &asked);
+        let tokens = rate::Tokens(1 + spared);
+        let start_after = time::Duration::ZERO;
+        assert_eq!(granted, holder::Answer::Granted { tokens, start_after }, "burst {burst}");
+    }
+}
