--- a/crates/waxwing-contract/src/contract.rs
+++ b/crates/waxwing-contract/src/contract.rs
@@ -17,6 +17,12 @@
 }
 
 impl Part {
+    /// No tokens at all.
+    pub const NONE: Self = Self {
+        rate_per_second: rate::TokenRate::from_milli_per_second(0),
+        burst_tokens: rate::NanoTokens::ZERO,
+    };
+
     /// Returns `permille` thousandths of the part, rounded down.
     pub const fn permille(self, permille: u64) -> Self {
         Self {
--- a/crates/waxwing-contract/src/lib.rs
+++ b/crates/waxwing-contract/src/lib.rs
@@ -16,6 +16,8 @@
 //! * [`bucket`]: the level of tokens in a part.
 //! * [`message`]: what machines say to each other about a contract.
 //! * [`options`]: the spans that all machines must agree on.
+//! * [`share`]: how a contract is shared out among the members of a fleet, without seats.
+//! * [`purse`]: the tokens of one organisation on a member: its share, and what others lent.
 //!
 //! # Why the bound holds
 //!
@@ -37,5 +39,7 @@
 pub mod holder;
 pub mod message;
 pub mod options;
+pub mod purse;
 mod question;
 pub mod seat;
+pub mod share;
--- a/crates/waxwing-machine/src/lib.rs
+++ b/crates/waxwing-machine/src/lib.rs
@@ -4,8 +4,18 @@
 //! * [`fleet`]: the view of all entry VMs, from heartbeats and the platform's list.
 //! * [`backend_server`]: a backend server's slots, health and slow start.
 //! * [`pool`]: the choice of a backend server.
+//! * [`membership`]: who belongs to the fleet by the store, and whether this machine may hold shares.
+//! * [`server`]: a backend server as it registers itself.
+//! * [`roster`]: all registered backend servers, over outages of the store.
+//! * [`placement`]: the choice among all backend servers of a service, by object.
+//! * [`strain`]: what one backend server bears, by its answers.
 
 pub mod backend_server;
 pub mod entry_vm;
 pub mod fleet;
+pub mod membership;
+pub mod placement;
 pub mod pool;
+pub mod roster;
+pub mod server;
+pub mod strain;
--- /dev/null
+++ b/crates/waxwing-machine/src/placement.rs
@@ -0,0 +1,289 @@
+//! The choice among all backend servers of a service, by object.
+//!
+//! A server that handled an object lately is quicker at it, so each object has its homes: the
+//! servers in the order of a rendezvous that is the same on all machines. A request goes to the
+//! least strained of its first homes, and further down the order where these have no room.
+//!
+//! A cold server bears few requests a second from all machines together, so only the machine that
+//! owns it sends to it, at a pace. The same goes for a server of which nobody knows whether it is
+//! cold: one that has failed, or whose failure domain was evacuated, until it registers again.
+
+use std::net;
+use std::time;
+
+use waxwing_units::id;
+use waxwing_units::rate;
+use waxwing_units::rendezvous;
+use waxwing_units::time as units_time;
+
+use crate::roster;
+use crate::server;
+use crate::strain;
+
+/// How long a server counts as cold after its failure domain is taken back: as long as it may
+/// take until it has said how cold it is.
+const TAKEN_BACK_UNKNOWN: time::Duration = time::Duration::from_millis(4_000);
+
+/// The part of the pace of a cold server that is used, in thousandths.
+const COLD_PACE_PERMILLE: u64 = 800;
+
+/// How requests are placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Options {
+    /// The first homes of an object, among which the least strained is taken.
+    pub homes: usize,
+    /// Requests that may wait at a server beyond its slots.
+    pub queued_max: u32,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self { homes: 2, queued_max: 3 }
+    }
+}
+
+/// What a request wants.
+#[derive(Clone, Copy)]
+pub struct Want<'a> {
+    /// The object that the request is about.
+    pub object: Option<&'a str>,
+    /// Whether a failure domain may run the request.
+    pub allows: &'a dyn Fn(&id::FailureDomainId) -> bool,
+    /// Servers that the request was sent to already.
+    pub tried: &'a [id::BackendServerId],
+}
+
+/// Names a server while a request is at it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Lease {
+    /// The server's name.
+    pub server: id::BackendServerId,
+    /// Its start.
+    pub started: id::Incarnation,
+    /// Where it listens.
+    pub address: net::SocketAddr,
+}
+
+/// Where a request goes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Choice {
+    /// To a server that has room.
+    Server(Lease),
+    /// Nowhere now: all servers are full, at rest or cold.
+    Full,
+    /// Nowhere: no server may run it.
+    Nobody,
+}
+
+/// What is known beside the servers' registrations.
+pub struct Surroundings<'a> {
+    /// Failure domains whose servers get nothing, sorted.
+    pub evacuated: &'a [id::FailureDomainId],
+    /// Whether this machine owns a server: it alone sends to it while it is cold.
+    pub owns: &'a dyn Fn(&id::BackendServerId) -> bool,
+    /// Requests a second that a cold server bears.
+    pub cold_rate_per_second: rate::TokenRate,
+}
+
+/// One server and its strain.
+#[derive(Debug, Clone)]
+struct Place {
+    known: roster::Known,
+    strain: strain::Strain,
+    is_evacuated: bool,
+    is_owned: bool,
+    unknown_until: units_time::MonoInstant,
+    cold_next_at: units_time::MonoInstant,
+}
+
+/// The servers of one service, sorted by name.
+#[derive(Debug, Clone)]
+pub struct Pool {
+    options: Options,
+    places: Vec<Place>,
+    cold_interval: time::Duration,
+}
+
+impl Pool {
+    /// Creates a pool without servers.
+    pub const fn new(options: Options) -> Self {
+        Self { options, places: Vec::new(), cold_interval: time::Duration::from_secs(1) }
+    }
+
+    /// Takes in which servers there are; `known` holds those of this service, sorted by name.
+    pub fn update(
+        &mut self,
+        now: units_time::MonoInstant,
+        known: &[&roster::Known],
+        around: &Surroundings<'_>,
+    ) {
+        self.cold_interval = cold_interval(around.cold_rate_per_second);
+        let before = std::mem::take(&mut self.places);
+        self.places = known
+            .iter()
+            .map(|known| {
+                let found = before
+                    .binary_search_by(|p| p.known.registered.server.cmp(&known.registered.server));
+                let same = found.ok().map(|at| &before[at]).filter(|place| {
+                    place.known.registered.started == known.registered.started
+                });
+                Place::next(now, same, known, around)
+            })
+            .collect();
+    }
+
+    /// Chooses where a request goes and counts it there.
+    pub fn begin(&mut self, now: units_time::MonoInstant, want: &Want<'_>) -> Choice {
+        let order = self.order(want);
+        if order.is_empty() {
+            return Choice::Nobody;
+        }
+        let has_room = |at: &&usize| self.places[**at].has_room(now, self.options);
+        let homes = order.iter().take(self.options.homes).filter(has_room);
+        let strain = |at: &&usize| self.places[**at].strain_permille(now);
+        let chosen = homes.min_by_key(strain).or_else(|| order.iter().find(has_room)).copied();
+        chosen.map_or(Choice::Full, |at| {
+            let interval = self.cold_interval;
+            Choice::Server(self.places[at].begin(now, interval))
+        })
+    }
+
+    /// Returns the servers that may run a request, the object's homes first.
+    fn order(&self, want: &Want<'_>) -> Vec<usize> {
+        let mut order: Vec<(u64, usize)> = self
+            .places
+            .iter()
+            .enumerate()
+            .filter(|(_, place)| place.may_run(want))
+            .map(|(at, place)| (place.weight(want), at))
+            .collect();
+        order.sort_unstable_by(|a, b| b.cmp(a));
+        order.into_iter().map(|(_, at)| at).collect()
+    }
+
+    /// Notes how a request ended, and what the server said of its load.
+    pub fn end(
+        &mut self,
+        now: units_time::MonoInstant,
+        lease: &Lease,
+        ending: strain::Ending,
+        load: Option<strain::Load>,
+    ) {
+        if let Some(place) = self.place_mut(lease) {
+            place.strain.end(now, ending, load);
+        }
+    }
+
+    /// Notes that a server has gone or that another one has its address.
+    pub fn forget(&mut self, lease: &Lease) {
+        self.places.retain(|place| !place.is(lease));
+    }
+
+    /// Notes that a server says of itself that it stays cold for `left`.
+    pub fn set_cold(
+        &mut self,
+        now: units_time::MonoInstant,
+        lease: &Lease,
+        left: time::Duration,
+    ) {
+        if let Some(place) = self.place_mut(lease) {
+            place.known.cold_until = place.known.cold_until.max(now.after(left));
+        }
+    }
+
+    fn place_mut(&mut self, lease: &Lease) -> Option<&mut Place> {
+        self.places.iter_mut().find(|place| place.is(lease))
+    }
+
+    /// Returns this machine's requests at all servers.
+    pub fn in_flight(&self) -> u32 {
+        self.places.iter().map(|place| place.strain.in_flight()).sum()
+    }
+}
+
+/// Returns the pause between two requests to a cold server.
+fn cold_interval(rate_per_second: rate::TokenRate) -> time::Duration {
+    let pace = rate_per_second.permille(COLD_PACE_PERMILLE);
+    pace.span_of(rate::NanoTokens(rate::NANO_PER_TOKEN))
+}
+
+impl Place {
+    fn next(
+        now: units_time::MonoInstant,
+        before: Option<&Self>,
+        known: &roster::Known,
+        around: &Surroundings<'_>,
+    ) -> Self {
+        let is_evacuated =
+            around.evacuated.binary_search(&known.registered.failure_domain).is_ok();
+        let mut place = before.cloned().unwrap_or_else(|| Self {
+            known: known.clone(),
+            strain: strain::Strain::default(),
+            is_evacuated,
+            is_owned: false,
+            unknown_until: units_time::MonoInstant::default(),
+            cold_next_at: now,
+        });
+        if place.is_evacuated && !is_evacuated {
+            place.unknown_until = now.after(TAKEN_BACK_UNKNOWN);
+        }
+        place.is_evacuated = is_evacuated;
+        place.is_owned = (around.owns)(&known.registered.server);
+        place.known = known.clone();
+        place
+    }
+
+    fn is(&self, lease: &Lease) -> bool {
+        let registered = &self.known.registered;
+        registered.server == lease.server && registered.started == lease.started
+    }
+
+    fn may_run(&self, want: &Want<'_>) -> bool {
+        let registered = &self.known.registered;
+        registered.state == server::State::Ready
+            && !self.is_evacuated
+            && !want.tried.contains(&registered.server)
+            && (want.allows)(&registered.failure_domain)
+    }
+
+    /// Returns the server's weight for a request; the highest comes first.
+    fn weight(&self, want: &Want<'_>) -> u64 {
+        let server = self.known.registered.server.as_str();
+        match want.object {
+            Some(object) => rendezvous::weight(object, server),
+            None => u64::from(u32::MAX - self.strain.in_flight()),
+        }
+    }
+
+    fn is_cold(&self, now: units_time::MonoInstant) -> bool {
+        now < self.known.cold_until || now < self.unknown_until
+    }
+
+    fn has_room(&self, now: units_time::MonoInstant, options: Options) -> bool {
+        if self.strain.rests(now) || (self.strain.is_on_trial() && self.strain.in_flight() > 0) {
+            return false;
+        }
+        if self.is_cold(now) {
+            return self.is_owned && now >= self.cold_next_at;
+        }
+        self.strain.load(now) < self.known.registered.slots + options.queued_max
+    }
+
+    /// Returns how full the server is, in thousandths of its slots.
+    fn strain_permille(&self, now: units_time::MonoInstant) -> u32 {
+        self.strain.load(now) * 1_000 / self.known.registered.slots.max(1)
+    }
+
+    fn begin(&mut self, now: units_time::MonoInstant, cold_interval: time::Duration) -> Lease {
+        if self.is_cold(now) {
+            self.cold_next_at = now.after(cold_interval);
+        }
+        self.strain.begin();
+        let registered = &self.known.registered;
+        Lease {
+            server: registered.server.clone(),
+            started: registered.started,
+            address: registered.address,
+        }
+    }
+}
--- a/crates/waxwing-protocol/src/peer.rs
+++ b/crates/waxwing-protocol/src/peer.rs
@@ -2,8 +2,12 @@
 
 use serde::{Deserialize, Serialize};
 use waxwing_contract::message;
+use waxwing_contract::purse;
 use waxwing_machine::fleet;
+use waxwing_machine::membership;
 use waxwing_timeline::stamp;
+use waxwing_units::id;
+use waxwing_units::rate;
 
 /// The version of the datagrams.
 pub const VERSION: u8 = 1;
@@ -41,6 +45,36 @@
     Heartbeat(fleet::Heartbeat),
     /// A message about an organisation's contract.
     Contract(message::Message),
+    /// A heartbeat of a member that holds shares of contracts.
+    Member(membership::Heartbeat),
+    /// Asks for a loan of tokens.
+    LoanAsk(LoanAsk),
+    /// Answers that.
+    Loan(Loan),
+}
+
+/// Asks for a loan of tokens.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoanAsk {
+    /// Names the question.
+    pub nonce: id::Nonce,
+    /// The organisation whose tokens are wanted.
+    pub organisation: id::OrganisationId,
+    /// How much is wanted.
+    pub wanted: rate::NanoTokens,
+    /// How much it is needed.
+    pub need: purse::Need,
+}
+
+/// A loan of tokens, which may be nothing.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Loan {
+    /// Names the question.
+    pub nonce: id::Nonce,
+    /// The organisation whose tokens these are.
+    pub organisation: id::OrganisationId,
+    /// How much is lent.
+    pub amount: rate::NanoTokens,
 }
 
 /// A datagram.
--- /dev/null
+++ b/crates/waxwing-route/src/table.rs
@@ -0,0 +1,127 @@
+//! All routes, services and organisations of one version.
+
+use std::fmt;
+
+use waxwing_units::digest;
+use waxwing_units::id;
+
+use crate::route;
+use crate::terms;
+
+/// The operators' number of a table; a higher one replaces a lower one.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Version(pub u64);
+
+impl fmt::Display for Version {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// A key and the organisation that it belongs to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Key {
+    digest: digest::KeyDigest,
+    organisation: id::OrganisationId,
+}
+
+/// All routes, services and organisations of one version, sorted for look-up.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Table {
+    version: Version,
+    hosts: Vec<route::Host>,
+    services: Vec<terms::Service>,
+    organisations: Vec<terms::Organisation>,
+    keys: Vec<Key>,
+    limits: terms::CallerLimits,
+}
+
+/// Who sent a request, as far as its key tells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Sender<'a> {
+    /// Nobody in particular: the route is open, or there are no organisations.
+    Anybody,
+    /// An organisation.
+    Organisation(&'a terms::Organisation),
+    /// The request needs a key and has none that is known.
+    Unknown,
+}
+
+impl Table {
+    /// Creates a table from parts in any order.
+    pub fn new(
+        version: Version,
+        mut hosts: Vec<route::Host>,
+        mut services: Vec<terms::Service>,
+        mut organisations: Vec<terms::Organisation>,
+        limits: terms::CallerLimits,
+    ) -> Self {
+        hosts.sort_by(|a, b| a.host.cmp(&b.host));
+        services.sort_by(|a, b| a.service.cmp(&b.service));
+        organisations.sort_by(|a, b| a.organisation.cmp(&b.organisation));
+        let mut keys: Vec<Key> = organisations.iter().flat_map(keys_of).collect();
+        keys.sort_by_key(|key| key.digest);
+        Self { version, hosts, services, organisations, keys, limits }
+    }
+
+    /// Returns the operators' number of the table.
+    pub const fn version(&self) -> Version {
+        self.version
+    }
+
+    /// Returns what callers may send.
+    pub const fn limits(&self) -> &terms::CallerLimits {
+        &self.limits
+    }
+
+    /// Returns all organisations, sorted by name.
+    pub fn organisations(&self) -> &[terms::Organisation] {
+        &self.organisations
+    }
+
+    /// Returns all services, sorted by name.
+    pub fn services(&self) -> &[terms::Service] {
+        &self.services
+    }
+
+    /// Returns the route of a request; the port behind the host's name does not count.
+    pub fn route(&self, host: &str, path: &str) -> Option<&route::Route> {
+        let host = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
+        let at = self.hosts.binary_search_by(|found| found.host.as_str().cmp(&host)).ok()?;
+        self.hosts[at].route(path)
+    }
+
+    /// Returns a service.
+    pub fn service(&self, service: &id::ServiceId) -> Option<&terms::Service> {
+        let at = self.services.binary_search_by(|found| found.service.cmp(service)).ok()?;
+        Some(&self.services[at])
+    }
+
+    /// Returns an organisation.
+    pub fn organisation(&self, name: &id::OrganisationId) -> Option<&terms::Organisation> {
+        let at = self.organisations.binary_search_by(|found| found.organisation.cmp(name)).ok()?;
+        Some(&self.organisations[at])
+    }
+
+    /// Tells who sent a request on `route` with `key`.
+    pub fn sender(&self, route: &route::Route, key: Option<&[u8]>) -> Sender<'_> {
+        if route.is_open || self.organisations.is_empty() {
+            return Sender::Anybody;
+        }
+        let organisation = key.and_then(|key| self.organisation_of(&digest::KeyDigest::of(key)));
+        organisation.map_or(Sender::Unknown, Sender::Organisation)
+    }
+
+    fn organisation_of(&self, digest: &digest::KeyDigest) -> Option<&terms::Organisation> {
+        let at = self.keys.binary_search_by(|key| key.digest.cmp(digest)).ok()?;
+        self.organisation(&self.keys[at].organisation)
+    }
+}
+
+fn keys_of(organisation: &terms::Organisation) -> Vec<Key> {
+    let key = |digest: &digest::KeyDigest| Key {
+        digest: *digest,
+        organisation: organisation.organisation.clone(),
+    };
+    organisation.keys.iter().map(key).collect()
+}
--- a/crates/waxwing-units/src/time.rs
+++ b/crates/waxwing-units/src/time.rs
@@ -73,6 +73,9 @@
     pub text: String,
 }
 
+/// Decimal places of a second that a span in milliseconds may have.
+const MILLI_DIGITS: usize = 3;
+
 /// A span in milliseconds.
 #[derive(
     Debug,
@@ -154,7 +157,18 @@
             return number.parse().map(Self).map_err(|_| bad());
         }
         let number = text.strip_suffix('s').ok_or_else(bad)?;
-        let seconds: u64 = number.parse().map_err(|_| bad())?;
-        seconds.checked_mul(1_000).map(Self).ok_or_else(bad)
+        milli_of(number).map(Self).ok_or_else(bad)
+    }
+}
+
+/// Reads a decimal number with at most three places as thousandths.
+fn milli_of(number: &str) -> Option<u64> {
+    let (whole, fraction) = number.split_once('.').unwrap_or((number, ""));
+    let is_digits = |text: &str| text.bytes().all(|byte| byte.is_ascii_digit());
+    if fraction.len() > MILLI_DIGITS || !is_digits(whole) || !is_digits(fraction) {
+        return None;
     }
+    let whole: u64 = whole.parse().ok()?;
+    let milli: u64 = format!("{fraction:0<MILLI_DIGITS$}").parse().ok()?;
+    whole.checked_mul(1_000)?.checked_add(milli)
 }
--- /dev/null
+++ b/crates/waxwing-vm/src/carry.rs
@@ -0,0 +1,244 @@
+//! A request from its arrival to its answer.
+
+use std::rc;
+use std::sync::atomic;
+
+use ntex::http;
+use ntex::web;
+use waxwing_machine::placement;
+use waxwing_process::clock;
+use waxwing_request::attempt;
+use waxwing_request::outcome;
+use waxwing_units::id;
+
+use crate::connections;
+use crate::exchange;
+use crate::front;
+use crate::journey;
+use crate::pools;
+use crate::refusal;
+use crate::vm;
+
+/// The time below which a request is not sent, since no answer can come back within it.
+const SENT_LEFT_MIN: std::time::Duration = std::time::Duration::from_millis(20);
+
+/// The connections of the thread that a request is on.
+pub type Kept = rc::Rc<connections::Connections>;
+
+/// Counts a request until its answer has ended.
+struct UnderWay(vm::Shared);
+
+impl UnderWay {
+    fn begin(vm: &vm::Shared) -> Self {
+        vm.under_way.fetch_add(1, atomic::Ordering::AcqRel);
+        Self(vm.clone())
+    }
+}
+
+impl Drop for UnderWay {
+    fn drop(&mut self) {
+        self.0.under_way.fetch_sub(1, atomic::Ordering::AcqRel);
+    }
+}
+
+/// Carries one request.
+pub async fn carry(
+    request: web::HttpRequest,
+    payload: web::types::Payload,
+    vm: web::types::State<vm::Shared>,
+    kept: web::types::State<Kept>,
+) -> web::HttpResponse {
+    let under_way = UnderWay::begin(&vm);
+    let began_at = clock::now();
+    let arrival = vm.front.arrival(&request);
+    let name = arrival.request.clone();
+    let path = arrival.path.clone();
+    let prepared = journey::prepare(&vm, &request, payload.into_inner(), arrival).await;
+    let carried = match prepared {
+        Ok(journey) => run(&vm, &kept, &request, &journey).await,
+        Err(refusal) => Err(refusal),
+    };
+    let mut response = match carried {
+        Ok(answer) => respond(answer),
+        Err(refusal) => {
+            let took_ms = clock::now().since(began_at).as_millis();
+            log::info!("request {name} to {path} is refused after {took_ms} ms: {refusal}");
+            vm.front.refusal(&name, &refusal)
+        }
+    };
+    if vm.stage() != vm::Stage::Serving {
+        response.head_mut().set_connection_type(http::ConnectionType::Close);
+    }
+    drop(under_way);
+    response
+}
+
+fn respond(answer: exchange::Answer) -> web::HttpResponse {
+    let mut builder = web::HttpResponse::build(answer.status);
+    for (name, value) in answer.headers {
+        builder.header(name, value);
+    }
+    builder.body(answer.body)
+}
+
+/// Where a request was sent already.
+#[derive(Default)]
+struct Tried {
+    servers: Vec<id::BackendServerId>,
+    history: attempt::History,
+}
+
+/// Sends the request until it is answered or must not be sent again.
+async fn run(
+    vm: &vm::Shared,
+    kept: &Kept,
+    request: &web::HttpRequest,
+    journey: &journey::Journey,
+) -> refusal::Result<exchange::Answer> {
+    let mut tried = Tried::default();
+    loop {
+        journey::check_again(vm, journey)?;
+        let mut slot = acquire(vm, journey, &mut tried)?;
+        if tried.servers.is_empty() {
+            vm.pools.earn_repeat(&journey.service, vm.repeats());
+        }
+        tried.servers.push(slot.lease().server.clone());
+        let exchanged = send(vm, kept, request, journey, &mut slot).await;
+        let failure = match exchanged {
+            Ok(answer) if !wants_better(vm, journey, &answer, &tried) => return Ok(answer),
+            Ok(_) => continue,
+            Err(failure) => failure,
+        };
+        drop(slot);
+        judge(vm, journey, &mut tried, failure)?;
+    }
+}
+
+/// Tells whether a failed answer is worth another attempt, and takes a repeat for it.
+fn wants_better(
+    vm: &vm::Shared,
+    journey: &journey::Journey,
+    answer: &exchange::Answer,
+    tried: &Tried,
+) -> bool {
+    answer.reading.verdict == front::Verdict::AnsweredFailure
+        && journey.route.repeatability == attempt::Repeatability::Idempotent
+        && may_send_again(vm, journey, tried)
+}
+
+fn may_send_again(vm: &vm::Shared, journey: &journey::Journey, tried: &Tried) -> bool {
+    (tried.servers.len() as u64) < u64::from(journey.route.attempts_max)
+        && journey.left() > SENT_LEFT_MIN
+        && vm.pools.spend_repeat(&journey.service)
+}
+
+/// Takes a place at a server.
+fn acquire(
+    vm: &vm::Shared,
+    journey: &journey::Journey,
+    tried: &mut Tried,
+) -> refusal::Result<pools::Slot> {
+    let allows = |domain: &id::FailureDomainId| journey.allows(vm.settings.region_of(domain));
+    let object = journey.arrival.object.as_deref().filter(|_| journey.route.has_affinity);
+    let want = placement::Want { object, allows: &allows, tried: &tried.servers };
+    let fault = match journey.left() > SENT_LEFT_MIN {
+        true => match vm.pools.acquire(vm, &journey.service, &want) {
+            pools::Acquired::Slot(slot) => return Ok(slot),
+            pools::Acquired::Nobody if tried.servers.is_empty() => {
+                return Err(refusal::Refusal::NoServer);
+            }
+            pools::Acquired::Full | pools::Acquired::Nobody => attempt::Fault::NoSlot,
+        },
+        false => attempt::Fault::DeadlinePassed,
+    };
+    let state = attempt::State::Waiting;
+    let repeatability = journey.route.repeatability;
+    let verdict = tried.history.judge(state, fault, repeatability, attempt::Body::Kept);
+    Err(refusal::Refusal::Failed { state, fault, outcome: outcome_of(verdict) })
+}
+
+const fn outcome_of(verdict: attempt::Verdict) -> outcome::Outcome {
+    match verdict {
+        attempt::Verdict::Tell(outcome) => outcome,
+        attempt::Verdict::TryAgain { otherwise } => otherwise,
+        attempt::Verdict::BreakAnswer => outcome::Outcome::Unknown,
+    }
+}
+
+async fn send(
+    vm: &vm::Shared,
+    kept: &Kept,
+    request: &web::HttpRequest,
+    journey: &journey::Journey,
+    slot: &mut pools::Slot,
+) -> Result<exchange::Answer, exchange::Failure> {
+    let lease = slot.lease().clone();
+    let left = journey.left();
+    let organisation = journey.organisation.as_ref();
+    let passing = front::Passing { lease: &lease, left, organisation };
+    let sending = exchange::Request {
+        request: journey.arrival.request.clone(),
+        method: journey.method.clone(),
+        path: journey.arrival.path.clone(),
+        headers: vm.front.passed_on(request.headers(), &passing),
+        body: journey.body.bytes(),
+    };
+    let exchanged = exchange::exchange(kept, vm.front.as_ref(), &lease, sending, left).await;
+    let reading = match &exchanged {
+        Ok(answer) => {
+            slot.set_ending(ending_of(answer), answer.reading.load);
+            Some(answer.reading)
+        }
+        Err(failure) => {
+            log::info!(
+                "request {} at {}: {} while {}",
+                journey.arrival.request, lease.server, failure.fault, failure.state
+            );
+            slot.set_ending(failure.ending(), failure.load());
+            failure.reading
+        }
+    };
+    if let Some(reading) = reading {
+        note(vm, journey, &lease, reading);
+    }
+    exchanged
+}
+
+const fn ending_of(answer: &exchange::Answer) -> waxwing_machine::strain::Ending {
+    match answer.reading.verdict {
+        front::Verdict::AnsweredFailure => waxwing_machine::strain::Ending::AnsweredFailure,
+        _ => waxwing_machine::strain::Ending::Answered,
+    }
+}
+
+/// Takes in what an answer says of its server.
+fn note(
+    vm: &vm::Vm,
+    journey: &journey::Journey,
+    lease: &placement::Lease,
+    reading: front::Reading,
+) {
+    if reading.verdict == front::Verdict::OtherServer {
+        vm.pools.forget(&journey.service, lease);
+    }
+    if let Some(left) = reading.cold_left {
+        vm.pools.set_cold(&journey.service, lease, left);
+    }
+}
+
+/// Tells whether the request is sent again; an error is what the caller is told.
+fn judge(
+    vm: &vm::Shared,
+    journey: &journey::Journey,
+    tried: &mut Tried,
+    failure: exchange::Failure,
+) -> refusal::Result<()> {
+    let exchange::Failure { state, fault, .. } = failure;
+    let repeatability = journey.route.repeatability;
+    let verdict = tried.history.judge(state, fault, repeatability, attempt::Body::Kept);
+    let is_again = matches!(verdict, attempt::Verdict::TryAgain { .. });
+    match is_again && may_send_again(vm, journey, tried) {
+        true => Ok(()),
+        false => Err(refusal::Refusal::Failed { state, fault, outcome: outcome_of(verdict) }),
+    }
+}
--- /dev/null
+++ b/crates/waxwing-vm/src/connections.rs
@@ -0,0 +1,138 @@
+//! Connections to backend servers that are kept.
+//!
+//! Each one is a client with a single connection. A client that finds its connection closed opens
+//! another; it notes so, and a request is then known not to have run if that fails.
+
+use std::cell;
+use std::io;
+use std::net;
+use std::rc;
+use std::time;
+
+use ntex::client;
+use ntex::client::error as client_error;
+use ntex::connect;
+use ntex::http;
+use ntex::service;
+use ntex::time as ntex_time;
+use waxwing_machine::placement;
+use waxwing_process::clock;
+use waxwing_request::attempt;
+use waxwing_units::id;
+use waxwing_units::time as units_time;
+
+/// How long opening a connection may take.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(800);
+
+/// How far an attempt has come, noted where it happens.
+pub type StateCell = rc::Rc<cell::Cell<attempt::State>>;
+
+/// What a connection leads to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct End {
+    address: net::SocketAddr,
+    server: id::BackendServerId,
+    started: id::Incarnation,
+}
+
+/// A connection to a backend server, in use.
+pub struct Connection {
+    end: End,
+    client: client::Client,
+    state: StateCell,
+}
+
+/// A connection that is not in use.
+struct Idle {
+    connection: Connection,
+    usable_until: units_time::MonoInstant,
+}
+
+/// The connections of one thread that are not in use.
+#[derive(Default)]
+pub struct Connections {
+    idle: cell::RefCell<Vec<Idle>>,
+}
+
+impl Connection {
+    /// Returns the client that speaks on the connection.
+    pub const fn client(&self) -> &client::Client {
+        &self.client
+    }
+
+    /// Returns how far the attempt on the connection has come.
+    pub fn state(&self) -> attempt::State {
+        self.state.get()
+    }
+
+    /// Notes how far the attempt on the connection has come.
+    pub fn set_state(&self, state: attempt::State) {
+        self.state.set(state);
+    }
+}
+
+impl Connections {
+    /// Returns a kept connection to a server, or a new one that opens when it is used.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where no client can be made.
+    pub async fn take(
+        &self,
+        lease: &placement::Lease,
+    ) -> Result<Connection, client_error::ClientError> {
+        let end = End {
+            address: lease.address,
+            server: lease.server.clone(),
+            started: lease.started,
+        };
+        if let Some(kept) = self.take_kept(&end) {
+            kept.state.set(attempt::State::Sending);
+            return Ok(kept);
+        }
+        let state: StateCell = rc::Rc::new(cell::Cell::new(attempt::State::Connecting));
+        let client = one_connection_client(state.clone()).await?;
+        Ok(Connection { end, client, state })
+    }
+
+    fn take_kept(&self, end: &End) -> Option<Connection> {
+        let now = clock::now();
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|idle| now < idle.usable_until);
+        let at = idle.iter().rposition(|idle| idle.connection.end == *end)?;
+        Some(idle.remove(at).connection)
+    }
+
+    /// Keeps a connection for `usable`.
+    pub fn give_back(&self, connection: Connection, usable: time::Duration) {
+        let usable_until = clock::now().after(usable);
+        self.idle.borrow_mut().push(Idle { connection, usable_until });
+    }
+}
+
+/// Creates a client that notes how far its connection has come.
+async fn one_connection_client(
+    state: StateCell,
+) -> Result<client::Client, client_error::ClientError> {
+    let connect = connect::Connector::<http::Uri>::new();
+    let noting = service::apply_fn_factory(connect, async move |to, connector| {
+        state.set(attempt::State::Connecting);
+        let connecting = connector.call(to);
+        let connected = ntex_time::timeout(CONNECT_TIMEOUT, connecting).await;
+        let io = connected.map_err(|()| timed_out())??;
+        state.set(attempt::State::Sending);
+        Ok::<_, connect::ConnectError>(io)
+    });
+    client::Client::builder()
+        .connector::<http::Uri>(client::Connector::new().connector(noting))
+        .disable_redirects()
+        .no_default_headers()
+        .disable_timeout()
+        .build(ntex::SharedCfg::new("server"))
+        .await
+        .map_err(|_| client_error::ClientError::from(client_error::ConnectError::Unresolved))
+}
+
+fn timed_out() -> connect::ConnectError {
+    connect::ConnectError::from(io::Error::from(io::ErrorKind::TimedOut))
+}
--- /dev/null
+++ b/crates/waxwing-vm/src/follow.rs
@@ -0,0 +1,266 @@
+//! Follows the platform's store: configuration, backend servers, and members of the fleet.
+
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use ntex::time as ntex_time;
+use parking_lot::Mutex;
+use waxwing_machine::entry_vm;
+use waxwing_machine::membership;
+use waxwing_machine::placement;
+use waxwing_machine::roster;
+use waxwing_platform::registry;
+use waxwing_process::clock;
+use waxwing_units::id;
+use waxwing_units::rendezvous;
+use waxwing_units::time as units_time;
+
+use crate::peers;
+use crate::vm;
+
+/// How often the store is asked whether the configuration has changed, as a part of the time in
+/// which a change has to be in force.
+const CONFIGURATION_PART: u32 = 3;
+
+/// How often backend servers are read, as a part of the time in which a drain has to be known.
+const SERVERS_PART: u32 = 3;
+
+/// How long between two questions at most.
+const INTERVAL_MAX: time::Duration = time::Duration::from_secs(1);
+
+/// How soon the store is asked again after it did not answer.
+const RETRY_INTERVAL: time::Duration = time::Duration::from_millis(200);
+
+/// How often members are read.
+const MEMBERS_INTERVAL: time::Duration = time::Duration::from_secs(2);
+
+/// How often a registration is renewed, as a part of its lease.
+const RENEWAL_PART: u32 = 5;
+
+/// How often shares of contracts and owners of servers are worked out again.
+const TICK_INTERVAL: time::Duration = time::Duration::from_millis(200);
+
+/// Follows the configuration; never returns.
+pub async fn configuration<R: registry::Registry>(vm: vm::Shared, registry: sync::Arc<R>) {
+    let apply_max = vm.settings.settings.apply_max.duration();
+    let interval = (apply_max / CONFIGURATION_PART).min(INTERVAL_MAX);
+    let mut was_answered = true;
+    loop {
+        let asked_at = clock::now();
+        let answered = registry.configuration().await;
+        note_store("configuration", &mut was_answered, answered.as_ref().err());
+        match answered {
+            Ok(news) => {
+                put_in_force(&vm, news, asked_at);
+                ntex_time::sleep(interval).await;
+            }
+            Err(_) => ntex_time::sleep(RETRY_INTERVAL).await,
+        }
+    }
+}
+
+/// Logs when the store stops or begins again to answer.
+fn note_store(what: &str, was_answered: &mut bool, error: Option<&registry::Error>) {
+    match error {
+        Some(error) if *was_answered => log::warn!("the store does not tell the {what}: {error}"),
+        None if !*was_answered => log::info!("the store tells the {what} again"),
+        _ => (),
+    }
+    *was_answered = error.is_none();
+}
+
+/// Puts a newer table in force; an older one changes nothing.
+fn put_in_force(vm: &vm::Vm, news: registry::News, asked_at: units_time::MonoInstant) {
+    let is_news = news.table.is_some() || news.evacuated.is_some();
+    {
+        let mut in_force = vm.in_force.lock();
+        if let Some(table) = news.table {
+            let version = in_force.table.as_ref().map(|table| table.version());
+            if version <= Some(table.version()) {
+                log::info!("version {} of the configuration is in force", table.version());
+                in_force.table = Some(sync::Arc::new(table));
+            }
+        }
+        if let Some(evacuated) = news.evacuated {
+            log::info!("evacuated failure domains: {evacuated:?}");
+            in_force.evacuated = evacuated;
+        }
+        in_force.confirmed_at = in_force.confirmed_at.max(Some(asked_at));
+    }
+    if is_news {
+        share_out(vm);
+    }
+}
+
+/// What is known of backend servers, for the loops that change it.
+pub type Servers = sync::Arc<Mutex<roster::Roster>>;
+
+/// Follows backend servers; never returns.
+pub async fn servers<R: registry::Registry>(
+    vm: vm::Shared,
+    registry: sync::Arc<R>,
+    servers: Servers,
+) {
+    let drain_max = vm.settings.settings.drain_max.duration();
+    let interval = (drain_max / SERVERS_PART).min(INTERVAL_MAX);
+    let mut was_answered = true;
+    loop {
+        let answered = registry.servers().await;
+        note_store("backend servers", &mut was_answered, answered.as_ref().err());
+        match answered {
+            Ok(listed) => {
+                servers.lock().read(clock::now(), listed);
+                vm.has_servers.store(true, atomic::Ordering::Release);
+                refill(&vm, &servers);
+                ntex_time::sleep(interval).await;
+            }
+            Err(_) => {
+                servers.lock().store_failed(clock::now());
+                ntex_time::sleep(RETRY_INTERVAL).await;
+            }
+        }
+    }
+}
+
+/// Works out shares of contracts and owners of servers again; never returns.
+pub async fn tick(vm: vm::Shared, servers: Servers) {
+    loop {
+        ntex_time::sleep(TICK_INTERVAL).await;
+        share_out(&vm);
+        refill(&vm, &servers);
+    }
+}
+
+/// Works out this machine's shares of all contracts.
+fn share_out(vm: &vm::Vm) {
+    let Some(table) = vm.table() else {
+        return;
+    };
+    let membership = vm.membership.lock();
+    vm.contracts.update(&table, &membership, vm.settings.settings.contract_slack);
+}
+
+/// Takes in which servers there are, and which of them this machine owns.
+fn refill(vm: &vm::Vm, servers: &Servers) {
+    let in_force = vm.in_force();
+    let Some(table) = in_force.table else {
+        return;
+    };
+    let live: Vec<id::VmId> = {
+        let membership = vm.membership.lock();
+        let live = membership.reachable(clock::now(), entry_vm::Phase::Live);
+        live.into_iter().map(|about| about.vm.clone()).chain([vm.about.vm.clone()]).collect()
+    };
+    let owns = |server: &id::BackendServerId| owner(server, &live) == Some(&vm.about.vm);
+    let roster = servers.lock();
+    for service in table.services() {
+        let known: Vec<&roster::Known> = roster
+            .servers()
+            .iter()
+            .filter(|known| known.registered.service == service.service)
+            .collect();
+        let around = placement::Surroundings {
+            evacuated: &in_force.evacuated,
+            owns: &owns,
+            cold_rate_per_second: service.cold_rate_per_second,
+        };
+        vm.pools.update(&service.service, &known, &around);
+    }
+}
+
+fn owner<'a>(server: &id::BackendServerId, live: &'a [id::VmId]) -> Option<&'a id::VmId> {
+    live.iter().max_by_key(|vm| rendezvous::weight(server.as_str(), vm.as_str()))
+}
+
+/// Registers this machine and keeps it registered; never returns.
+pub async fn registration<R: registry::Registry>(vm: vm::Shared, registry: sync::Arc<R>) {
+    let lease = vm.settings.settings.registration_lease.duration();
+    loop {
+        if vm.stage() != vm::Stage::Serving {
+            return;
+        }
+        let asked_at = clock::now();
+        let registered = vm.membership.lock().registration();
+        let result = match registered {
+            None => registry.register(&vm.about, lease).await.map(|taken| {
+                log::info!("this machine is registered since {}", taken.created);
+                membership::Registration {
+                    created: taken.created,
+                    is_admitted: taken.is_admitted,
+                    valid_until: asked_at.after(units_time::surely_passed(taken.lease)),
+                }
+            }),
+            Some(mine) => registry.renew().await.map(|lease| membership::Registration {
+                valid_until: asked_at.after(units_time::surely_passed(lease)),
+                ..mine
+            }),
+        };
+        let pause = match result {
+            Ok(renewed) => {
+                keep_registration(&vm, renewed);
+                lease / RENEWAL_PART
+            }
+            Err(registry::Error::Ended) => {
+                log::warn!("the registration has ended");
+                vm.membership.lock().set_registration(None);
+                RETRY_INTERVAL
+            }
+            Err(error) => {
+                log::info!("the registration could not be renewed: {error}");
+                RETRY_INTERVAL
+            }
+        };
+        ntex_time::sleep(pause).await;
+    }
+}
+
+/// Notes a registration; one that was admitted meanwhile stays so.
+fn keep_registration(vm: &vm::Vm, renewed: membership::Registration) {
+    let mut membership = vm.membership.lock();
+    let was_admitted = membership
+        .registration()
+        .is_some_and(|mine| mine.is_admitted && mine.created == renewed.created);
+    let is_admitted = renewed.is_admitted || was_admitted;
+    membership.set_registration(Some(membership::Registration { is_admitted, ..renewed }));
+}
+
+/// Follows the members of the fleet; never returns.
+pub async fn members<R: registry::Registry>(vm: vm::Shared, registry: sync::Arc<R>) {
+    let mut was_answered = true;
+    loop {
+        let answered = registry.members().await;
+        note_store("members", &mut was_answered, answered.as_ref().err());
+        match answered {
+            Ok(reading) => {
+                vm.membership.lock().read(reading);
+                peers::beat(&vm);
+            }
+            Err(_) => {
+                ntex_time::sleep(RETRY_INTERVAL).await;
+                continue;
+            }
+        }
+        admit(&vm, registry.as_ref()).await;
+        ntex_time::sleep(members_interval(&vm)).await;
+    }
+}
+
+/// Returns how long until the members are read again: shorter while this machine is not admitted.
+fn members_interval(vm: &vm::Vm) -> time::Duration {
+    let registration = vm.membership.lock().registration();
+    match registration.is_some_and(|mine| mine.is_admitted) {
+        true => MEMBERS_INTERVAL,
+        false => MEMBERS_INTERVAL / 4,
+    }
+}
+
+async fn admit<R: registry::Registry>(vm: &vm::Vm, registry: &R) {
+    if !vm.membership.lock().admit() {
+        return;
+    }
+    log::info!("all members have read this machine's name");
+    if let Err(error) = registry.admit(&vm.about).await {
+        log::info!("the admission could not be written: {error}");
+    }
+}
--- /dev/null
+++ b/crates/waxwing-vm/src/journey.rs
@@ -0,0 +1,227 @@
+//! What is known of a request, and the checks before it may run.
+
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use futures_util::StreamExt;
+use ntex::http;
+use ntex::http::header;
+use ntex::time as ntex_time;
+use ntex::util as ntex_util;
+use ntex::web;
+use waxwing_process::clock;
+use waxwing_route::route;
+use waxwing_route::table;
+use waxwing_units::id;
+use waxwing_units::time as units_time;
+
+use crate::contracts;
+use crate::front;
+use crate::refusal;
+use crate::vm;
+
+/// What is known of a request on its way.
+pub struct Journey {
+    /// What the caller said.
+    pub arrival: front::Arrival,
+    /// The method.
+    pub method: http::Method,
+    /// The route.
+    pub route: route::Route,
+    /// The service that the request goes to.
+    pub service: id::ServiceId,
+    /// The organisation whose request it is.
+    pub organisation: Option<id::OrganisationId>,
+    /// The regions in which it may run; none where all may.
+    pub allowed_regions: Option<Vec<id::RegionId>>,
+    /// When it has to be answered.
+    pub deadline: units_time::MonoInstant,
+    /// The body.
+    pub body: Kept,
+}
+
+impl Journey {
+    /// Returns the time that is left.
+    pub fn left(&self) -> time::Duration {
+        self.deadline.since(clock::now())
+    }
+
+    /// Tells whether the request may run in a region.
+    pub fn allows(&self, region: Option<&id::RegionId>) -> bool {
+        match (&self.allowed_regions, region) {
+            (None, _) => true,
+            (Some(allowed), Some(region)) => allowed.binary_search(region).is_ok(),
+            (Some(_), None) => false,
+        }
+    }
+}
+
+/// A body that is kept, counted for as long as it is.
+pub struct Kept {
+    vm: vm::Shared,
+    bytes: ntex_util::Bytes,
+    counted_bytes: u64,
+}
+
+impl Kept {
+    /// Returns the body.
+    pub fn bytes(&self) -> ntex_util::Bytes {
+        self.bytes.clone()
+    }
+
+    const fn empty(vm: vm::Shared) -> Self {
+        Self { vm, bytes: ntex_util::Bytes::new(), counted_bytes: 0 }
+    }
+
+    /// Counts `more_bytes`; returns whether there was memory for them.
+    fn count(&mut self, more_bytes: u64) -> bool {
+        let before = self.vm.kept_bytes.fetch_add(more_bytes, atomic::Ordering::AcqRel);
+        self.counted_bytes += more_bytes;
+        before + more_bytes <= self.vm.kept_max_bytes()
+    }
+}
+
+impl Drop for Kept {
+    fn drop(&mut self) {
+        self.vm.kept_bytes.fetch_sub(self.counted_bytes, atomic::Ordering::AcqRel);
+    }
+}
+
+/// Checks a request, reads its body and charges its organisation.
+///
+/// # Errors
+///
+/// Returns why the request must not run.
+pub async fn prepare(
+    vm: &vm::Shared,
+    request: &web::HttpRequest,
+    payload: http::Payload,
+    arrival: front::Arrival,
+) -> refusal::Result<Journey> {
+    let began_at = clock::now();
+    let table = vm.table();
+    let route = table.as_ref().and_then(|table| table.route(&arrival.host, &arrival.path)).cloned();
+    let timeout = match (&route, arrival.timeout) {
+        (Some(route), Some(wanted)) => wanted.min(route.timeout),
+        (Some(route), None) => route.timeout,
+        (None, wanted) => wanted.unwrap_or(UNROUTED_TIMEOUT),
+    };
+    let deadline = began_at.after(timeout);
+    // The body is read before any answer: an answer to a connection with unread bytes may be lost.
+    let body = read_body(vm, request, payload, deadline, table.as_deref()).await;
+    if vm.stage() == vm::Stage::Closed {
+        return Err(refusal::Refusal::Leaving);
+    }
+    let table = table.ok_or(refusal::Refusal::NoConfiguration)?;
+    let route = route.ok_or(refusal::Refusal::NoRoute)?;
+    let body = body?;
+    let organisation = sender(vm, &table, &route, &arrival)?;
+    if let Some(organisation) = &organisation {
+        let charged = contracts::charge(vm, organisation, deadline).await;
+        charged.map_err(refusal::Refusal::NotCharged)?;
+    }
+    let terms = organisation.as_ref().and_then(|organisation| table.organisation(organisation));
+    let allowed_regions = allowed_regions(&route, terms.map(|terms| terms.allowed_regions.as_slice()));
+    let service = vm.pools.next_service(&route).ok_or(refusal::Refusal::NoServer)?;
+    let method = request.method().clone();
+    Ok(Journey { arrival, method, route, service, organisation, allowed_regions, deadline, body })
+}
+
+/// How long a request may take of which no route tells.
+const UNROUTED_TIMEOUT: time::Duration = time::Duration::from_secs(3);
+
+/// Tells whose request it is, by the newest configuration.
+fn sender(
+    vm: &vm::Vm,
+    table: &sync::Arc<table::Table>,
+    route: &route::Route,
+    arrival: &front::Arrival,
+) -> refusal::Result<Option<id::OrganisationId>> {
+    let is_keyless = route.is_open || table.organisations().is_empty();
+    if !is_keyless && !vm.allows_keys() {
+        return Err(refusal::Refusal::KeysStale);
+    }
+    match table.sender(route, arrival.key.as_deref()) {
+        table::Sender::Anybody => Ok(None),
+        table::Sender::Organisation(terms) => Ok(Some(terms.organisation.clone())),
+        table::Sender::Unknown => Err(refusal::Refusal::UnknownKey),
+    }
+}
+
+/// Checks a key again, right before the request is sent.
+///
+/// # Errors
+///
+/// Returns why the request must not run.
+pub fn check_again(vm: &vm::Vm, journey: &Journey) -> refusal::Result<()> {
+    let Some(organisation) = &journey.organisation else {
+        return Ok(());
+    };
+    let table = vm.table().ok_or(refusal::Refusal::NoConfiguration)?;
+    let sender = sender(vm, &table, &journey.route, &journey.arrival)?;
+    match sender.as_ref() == Some(organisation) {
+        true => Ok(()),
+        false => Err(refusal::Refusal::UnknownKey),
+    }
+}
+
+/// Returns the regions that both route and organisation allow.
+fn allowed_regions(
+    route: &route::Route,
+    organisation: Option<&[id::RegionId]>,
+) -> Option<Vec<id::RegionId>> {
+    let by_route = Some(route.allowed_regions.as_slice()).filter(|regions| !regions.is_empty());
+    let by_organisation = organisation.filter(|regions| !regions.is_empty());
+    match (by_route, by_organisation) {
+        (None, None) => None,
+        (Some(regions), None) | (None, Some(regions)) => Some(regions.to_vec()),
+        (Some(one), Some(other)) => {
+            Some(one.iter().filter(|region| other.contains(region)).cloned().collect())
+        }
+    }
+}
+
+/// Reads a body to its end.
+async fn read_body(
+    vm: &vm::Shared,
+    request: &web::HttpRequest,
+    payload: http::Payload,
+    deadline: units_time::MonoInstant,
+    table: Option<&table::Table>,
+) -> refusal::Result<Kept> {
+    let headers = request.headers();
+    let has_body = headers.contains_key(header::TRANSFER_ENCODING)
+        || headers.get(header::CONTENT_LENGTH).is_some_and(|len| len.as_bytes() != b"0");
+    if !has_body {
+        return Ok(Kept::empty(sync::Arc::clone(vm)));
+    }
+    let max_bytes = table.map_or(u64::MAX, |table| table.limits().body_max_bytes.0);
+    let reading = read_chunks(vm, payload, max_bytes);
+    let read = ntex_time::timeout(deadline.since(clock::now()), reading).await;
+    read.unwrap_or(Err(refusal::Refusal::BodyBroken))
+}
+
+async fn read_chunks(
+    vm: &vm::Shared,
+    mut payload: http::Payload,
+    max_bytes: u64,
+) -> refusal::Result<Kept> {
+    let mut kept = Kept::empty(sync::Arc::clone(vm));
+    let mut whole = ntex_util::BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|error| {
+            log::debug!("a body broke off: {error}");
+            refusal::Refusal::BodyBroken
+        })?;
+        if !kept.count(chunk.len() as u64) {
+            return Err(refusal::Refusal::BodiesFull);
+        }
+        if kept.counted_bytes > max_bytes {
+            return Err(refusal::Refusal::BodyTooLarge);
+        }
+        whole.extend_from_slice(&chunk);
+    }
+    kept.bytes = whole.freeze();
+    Ok(kept)
+}
--- /dev/null
+++ b/crates/waxwing-vm/src/lib.rs
@@ -0,0 +1,33 @@
+//! An entry VM in one process: entry, directory, membership and contracts.
+//!
+//! The parts, from the outside in:
+//!
+//! * [`run`]: starts the parts and ends them.
+//! * [`settings`]: the settings.
+//! * [`front`]: how requests, refusals and answers look on the wire, for an adapter to say.
+//! * [`carry`]: a request from its arrival to its answer.
+//! * [`journey`]: what is known of a request, and the checks before it may run.
+//! * [`refusal`]: everything that a caller can be told instead of an answer.
+//! * [`exchange`]: one request and its answer on a connection to a backend server.
+//! * [`connections`]: connections to backend servers that are kept.
+//! * [`pools`]: the backend servers of all services.
+//! * [`contracts`]: charges organisations, with tokens of this machine and of others.
+//! * [`directory`]: tells callers which machines to use, and whether this one is ready.
+//! * [`peers`]: datagrams between machines.
+//! * [`follow`]: follows the platform's store.
+//! * [`vm`]: what all of them share.
+
+pub mod carry;
+pub mod connections;
+pub mod contracts;
+pub mod directory;
+pub mod exchange;
+pub mod follow;
+pub mod front;
+pub mod journey;
+pub mod peers;
+pub mod pools;
+pub mod refusal;
+pub mod run;
+pub mod settings;
+pub mod vm;
--- /dev/null
+++ b/crates/waxwing-vm/src/peers.rs
@@ -0,0 +1,92 @@
+//! Datagrams between machines: heartbeats and loans.
+
+use std::net;
+use std::thread;
+use std::time;
+
+use waxwing_machine::membership;
+use waxwing_process::clock;
+use waxwing_protocol::peer;
+
+use crate::vm;
+
+/// How often heartbeats are sent.
+const HEARTBEAT_INTERVAL: time::Duration = time::Duration::from_millis(400);
+
+/// Bytes of the receive buffer; a longer datagram is cut and can't be decoded.
+const BUFFER_LEN_BYTES: usize = 2 * peer::DATAGRAM_MAX_BYTES;
+
+/// Receives datagrams; never returns.
+pub fn receive_all(vm: &vm::Vm) {
+    let mut buffer = [0; BUFFER_LEN_BYTES];
+    loop {
+        match vm.socket().recv_from(&mut buffer) {
+            Ok((len_bytes, from)) => receive(vm, from, &buffer[..len_bytes]),
+            Err(error) => log::debug!("a datagram could not be received: {error}"),
+        }
+    }
+}
+
+fn receive(vm: &vm::Vm, from: net::SocketAddr, bytes: &[u8]) {
+    let datagram = match peer::decode(bytes) {
+        Ok(datagram) => datagram,
+        Err(error) => {
+            log::debug!("a datagram was dropped: {error}");
+            return;
+        }
+    };
+    match datagram.body {
+        peer::Body::Member(heartbeat) => hear(vm, heartbeat),
+        peer::Body::LoanAsk(ask) => {
+            let amount = vm.contracts.lend(&ask);
+            let loan = peer::Loan { nonce: ask.nonce, organisation: ask.organisation, amount };
+            send(vm, from, peer::Body::Loan(loan));
+        }
+        peer::Body::Loan(loan) => vm.contracts.receive(&loan),
+        peer::Body::Heartbeat(_) | peer::Body::Contract(_) => {
+            log::debug!("a datagram for a keeper was dropped");
+        }
+    }
+}
+
+fn hear(vm: &vm::Vm, heartbeat: membership::Heartbeat) {
+    let (name, phase) = (heartbeat.about.vm.clone(), heartbeat.phase);
+    if vm.membership.lock().hear(clock::now(), heartbeat) {
+        log::info!("machine {name} is heard, {phase:?}");
+    }
+}
+
+/// Sends heartbeats; never returns.
+pub fn beat_all(vm: &vm::Vm) {
+    loop {
+        beat(vm);
+        thread::sleep(HEARTBEAT_INTERVAL);
+    }
+}
+
+/// Sends one round of heartbeats.
+pub fn beat(vm: &vm::Vm) {
+    let (targets, revision) = {
+        let membership = vm.membership.lock();
+        (membership.targets(clock::now()), membership.revision())
+    };
+    let heartbeat =
+        membership::Heartbeat { about: vm.about.clone(), revision, phase: vm.phase() };
+    for target in targets {
+        send(vm, target, peer::Body::Member(heartbeat.clone()));
+    }
+}
+
+/// Sends a datagram; one that can't be sent counts as lost.
+pub fn send(vm: &vm::Vm, address: net::SocketAddr, body: peer::Body) {
+    let datagram = peer::Datagram { from: vm.peer(), stamp: vm.stamp(), body };
+    let mut buffer = [0; peer::DATAGRAM_MAX_BYTES];
+    match peer::encode(&datagram, &mut buffer) {
+        Ok(bytes) => {
+            if let Err(error) = vm.socket().send_to(bytes, address) {
+                log::debug!("a datagram to {address} was lost: {error}");
+            }
+        }
+        Err(error) => log::warn!("a datagram to {address} was not sent: {error}"),
+    }
+}
--- /dev/null
+++ b/crates/waxwing-vm/src/run.rs
@@ -0,0 +1,161 @@
+//! Starts the parts of an entry VM and ends them.
+
+use std::net;
+use std::rc;
+use std::sync;
+use std::sync::atomic;
+use std::thread;
+use std::time;
+
+use eyre::WrapErr;
+use ntex::http;
+use ntex::time as ntex_time;
+use ntex::web;
+use waxwing_platform::registry;
+use waxwing_process::clock;
+use waxwing_process::signal;
+
+use crate::carry;
+use crate::connections;
+use crate::directory;
+use crate::follow;
+use crate::front;
+use crate::peers;
+use crate::settings;
+use crate::vm;
+
+/// How long a caller's connection may be idle, in seconds.
+const IDLE_MAX: ntex_time::Seconds = ntex_time::Seconds(120);
+
+/// How long the head of a request may take, in seconds.
+const HEAD_MAX: ntex_time::Seconds = ntex_time::Seconds(10);
+
+/// How often the process looks whether all requests have ended.
+const FINISH_INTERVAL: time::Duration = time::Duration::from_millis(50);
+
+/// How long before it is killed the process ends by itself.
+const END_MARGIN: time::Duration = time::Duration::from_millis(400);
+
+/// How long withdrawing the registration may take.
+const LEAVE_MAX: time::Duration = time::Duration::from_millis(300);
+
+/// The part of the time to end in which the process still takes requests: one in this many.
+const LEAVING_PART: u32 = 2;
+
+/// Runs an entry VM until it is told to end.
+///
+/// # Errors
+///
+/// Returns an error where an address can't be bound or a thread can't be started.
+pub async fn run<R: registry::Registry + 'static>(
+    settings: settings::Checked,
+    front: Box<dyn front::Front>,
+    registry: R,
+) -> eyre::Result<()> {
+    let peer_address = settings.peer_address;
+    let socket = net::UdpSocket::bind(peer_address)
+        .wrap_err_with(|| format!("peer_address {peer_address} can't be bound"))?;
+    let vm = sync::Arc::new(vm::Vm::new(settings, front, socket));
+    log::info!("machine {} has started", vm.about.vm);
+    start("peers", &vm, peers::receive_all)?;
+    start("heartbeats", &vm, peers::beat_all)?;
+    let registry = sync::Arc::new(registry);
+    follow_store(&vm, &registry);
+    serve_directory(&vm)?;
+    serve_callers(&vm)?;
+    signal::order_to_end()?.await?;
+    end(&vm, registry.as_ref()).await;
+    Ok(())
+}
+
+fn start(
+    name: &str,
+    vm: &vm::Shared,
+    run: impl FnOnce(&vm::Vm) + Send + 'static,
+) -> eyre::Result<()> {
+    let vm = vm.clone();
+    let builder = thread::Builder::new().name(name.to_owned());
+    builder.spawn(move || run(&vm)).wrap_err("a thread can't be started")?;
+    Ok(())
+}
+
+fn follow_store<R: registry::Registry + 'static>(vm: &vm::Shared, registry: &sync::Arc<R>) {
+    let servers = follow::Servers::default();
+    ntex::rt::spawn(follow::configuration(vm.clone(), registry.clone()));
+    ntex::rt::spawn(follow::servers(vm.clone(), registry.clone(), servers.clone()));
+    ntex::rt::spawn(follow::registration(vm.clone(), registry.clone()));
+    ntex::rt::spawn(follow::members(vm.clone(), registry.clone()));
+    ntex::rt::spawn(follow::tick(vm.clone(), servers));
+}
+
+fn serve_directory(vm: &vm::Shared) -> eyre::Result<()> {
+    let shared = vm.clone();
+    let server = web::HttpServer::new(async move || {
+        web::App::new().state(shared.clone()).default_service(web::route().to(directory::answer))
+    });
+    let (directory, readiness) = (vm.settings.directory_address, vm.settings.readiness_address);
+    let server = server
+        .workers(1)
+        .disable_signals()
+        .bind(directory)
+        .wrap_err_with(|| format!("directory_address {directory} can't be bound"))?
+        .bind(readiness)
+        .wrap_err_with(|| format!("readiness_address {readiness} can't be bound"))?
+        .run();
+    supervise("directory", server);
+    Ok(())
+}
+
+fn serve_callers(vm: &vm::Shared) -> eyre::Result<()> {
+    let shared = vm.clone();
+    let server = web::HttpServer::new(async move || {
+        let kept: carry::Kept = rc::Rc::new(connections::Connections::default());
+        web::App::new()
+            .state(shared.clone())
+            .state(kept)
+            .default_service(web::route().to(carry::carry))
+    });
+    let http = http::HttpServiceConfig::new()
+        .set_keepalive_timeout(IDLE_MAX)
+        .set_client_timeout(HEAD_MAX);
+    let address = vm.settings.entry_address;
+    let server = server
+        .workers(vm.settings.settings.workers)
+        .disable_signals()
+        .config(ntex::SharedCfg::new("entry").add(http))
+        .bind(address)
+        .wrap_err_with(|| format!("entry_address {address} can't be bound"))?
+        .run();
+    supervise("entry", server);
+    Ok(())
+}
+
+fn supervise(name: &'static str, server: ntex::server::Server) {
+    ntex::rt::spawn(async move {
+        if let Err(error) = server.await {
+            log::error!("the {name} endpoint ended: {error}");
+        }
+    });
+}
+
+/// Tells everybody, goes on for as long as callers may still come, and finishes what there is.
+async fn end<R: registry::Registry>(vm: &vm::Shared, registry: &R) {
+    let began_at = clock::now();
+    let end_max = vm.settings.settings.end_max.duration();
+    vm.set_stage(vm::Stage::Leaving);
+    peers::beat(vm);
+    ntex_time::sleep((end_max / LEAVING_PART).saturating_sub(clock::now().since(began_at))).await;
+    vm.set_stage(vm::Stage::Closed);
+    vm.membership.lock().set_registration(None);
+    let leaving = ntex_time::timeout(LEAVE_MAX, registry.leave());
+    if let Ok(Err(error)) = leaving.await {
+        log::info!("the registration could not be withdrawn: {error}");
+    }
+    let last_at = began_at.after(end_max.saturating_sub(END_MARGIN));
+    while vm.under_way.load(atomic::Ordering::Acquire) > 0 && clock::now() < last_at {
+        ntex_time::sleep(FINISH_INTERVAL).await;
+    }
+    // The last bytes of the last answer leave before the process does.
+    ntex_time::sleep(FINISH_INTERVAL).await;
+    log::info!("machine {} ends", vm.about.vm);
+}
--- /dev/null
+++ b/crates/waxwing-vm/src/settings.rs
@@ -0,0 +1,171 @@
+//! The settings of an entry VM in one process.
+
+use std::net;
+
+use serde::Deserialize;
+use serde_with::DisplayFromStr;
+use serde_with::serde_as;
+use waxwing_process::settings;
+use waxwing_units::id;
+use waxwing_units::rate;
+use waxwing_units::ratio;
+use waxwing_units::size;
+use waxwing_units::time as units_time;
+
+/// A region and its failure domains.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Place {
+    /// The failure domain.
+    pub failure_domain: id::FailureDomainId,
+    /// The region that it belongs to.
+    pub region: id::RegionId,
+}
+
+/// The settings of an entry VM in one process.
+#[serde_as]
+#[derive(Debug, Clone, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// The name of this machine.
+    pub vm: Option<id::VmId>,
+    /// The failure domain of this machine.
+    pub failure_domain: Option<id::FailureDomainId>,
+    /// All failure domains and their regions.
+    pub places: Vec<Place>,
+    /// Where callers send requests.
+    pub entry_address: Option<net::SocketAddr>,
+    /// Where callers ask which machines to use.
+    pub directory_address: Option<net::SocketAddr>,
+    /// Where the platform asks whether the machine is ready.
+    pub readiness_address: Option<net::SocketAddr>,
+    /// Where other machines send datagrams.
+    pub peer_address: Option<net::SocketAddr>,
+    /// Where the platform's store answers.
+    pub store_address: Option<net::SocketAddr>,
+    /// Threads that carry requests.
+    pub workers: usize,
+    /// The memory that the process may take.
+    #[serde_as(as = "DisplayFromStr")]
+    pub memory_max: size::Bytes,
+    /// How long a key that was withdrawn may go on to work; without it there is no bound.
+    #[serde_as(as = "Option<DisplayFromStr>")]
+    pub withdrawal_max: Option<units_time::Millis>,
+    /// How soon a new configuration is in force.
+    #[serde_as(as = "DisplayFromStr")]
+    pub apply_max: units_time::Millis,
+    /// How soon a leaving backend server gets no new requests.
+    #[serde_as(as = "DisplayFromStr")]
+    pub drain_max: units_time::Millis,
+    /// How long the process may take to end.
+    #[serde_as(as = "DisplayFromStr")]
+    pub end_max: units_time::Millis,
+    /// How long callers may use an answer of the directory.
+    #[serde_as(as = "DisplayFromStr")]
+    pub answer_validity: units_time::Millis,
+    /// How long a registration lasts without being renewed.
+    #[serde_as(as = "DisplayFromStr")]
+    pub registration_lease: units_time::Millis,
+    /// The share of requests to a service that are sent again, over all machines.
+    #[serde_as(as = "DisplayFromStr")]
+    pub repeats_ratio: ratio::Permille,
+    /// Requests to a service that are sent again beyond that.
+    pub repeats_slack: u64,
+    /// Tokens that the shares of a contract may have beyond its burst, over all machines.
+    #[serde_as(as = "DisplayFromStr")]
+    pub contract_slack: rate::Tokens,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            vm: None,
+            failure_domain: None,
+            places: Vec::new(),
+            entry_address: None,
+            directory_address: None,
+            readiness_address: None,
+            peer_address: None,
+            store_address: None,
+            workers: 1,
+            memory_max: size::Bytes(256 * 1024 * 1024),
+            withdrawal_max: None,
+            apply_max: units_time::Millis(2_500),
+            drain_max: units_time::Millis(2_500),
+            end_max: units_time::Millis(6_000),
+            answer_validity: units_time::Millis(1_000),
+            registration_lease: units_time::Millis(10_000),
+            repeats_ratio: ratio::Permille(100),
+            repeats_slack: 20,
+            contract_slack: rate::Tokens(0),
+        }
+    }
+}
+
+/// Settings of which each needed field is known to be there.
+#[derive(Debug, Clone)]
+pub struct Checked {
+    /// The name of this machine.
+    pub vm: id::VmId,
+    /// The failure domain of this machine.
+    pub failure_domain: id::FailureDomainId,
+    /// Where callers send requests.
+    pub entry_address: net::SocketAddr,
+    /// Where callers ask which machines to use.
+    pub directory_address: net::SocketAddr,
+    /// Where the platform asks whether the machine is ready.
+    pub readiness_address: net::SocketAddr,
+    /// Where other machines send datagrams.
+    pub peer_address: net::SocketAddr,
+    /// Where the platform's store answers.
+    pub store_address: net::SocketAddr,
+    /// All other settings.
+    pub settings: Settings,
+}
+
+impl settings::Settings for Settings {
+    fn check(&self, faults: &mut settings::Faults) {
+        let address = "is missing; write an IP number and a port, such as 10.0.0.1:7000";
+        faults.require(self.vm.is_some(), "vm", "is missing; write this machine's name");
+        faults.require(
+            self.failure_domain.is_some(),
+            "failure_domain",
+            "is missing; write the failure domain of this machine",
+        );
+        faults.require(self.entry_address.is_some(), "entry_address", address);
+        faults.require(self.directory_address.is_some(), "directory_address", address);
+        faults.require(self.readiness_address.is_some(), "readiness_address", address);
+        faults.require(self.peer_address.is_some(), "peer_address", address);
+        faults.require(self.store_address.is_some(), "store_address", address);
+        let workers = "must be between 1 and 64";
+        faults.require((1..=64).contains(&self.workers), "workers", workers);
+        let names_own = self.failure_domain.as_ref().is_none_or(|own| {
+            self.places.iter().any(|place| place.failure_domain == *own)
+        });
+        faults.require(names_own, "places", "must name the region of this failure domain");
+    }
+}
+
+impl Settings {
+    /// Returns the settings with each needed field, or none where one is missing.
+    pub fn checked(self) -> Option<Checked> {
+        Some(Checked {
+            vm: self.vm.clone()?,
+            failure_domain: self.failure_domain.clone()?,
+            entry_address: self.entry_address?,
+            directory_address: self.directory_address?,
+            readiness_address: self.readiness_address?,
+            peer_address: self.peer_address?,
+            store_address: self.store_address?,
+            settings: self,
+        })
+    }
+}
+
+impl Checked {
+    /// Returns the region of a failure domain.
+    pub fn region_of(&self, failure_domain: &id::FailureDomainId) -> Option<&id::RegionId> {
+        let place = self.settings.places.iter().find(|p| p.failure_domain == *failure_domain);
+        place.map(|place| &place.region)
+    }
+}
--- /dev/null
+++ b/crates/waxwing-vm/src/vm.rs
@@ -0,0 +1,190 @@
+//! What the parts of an entry VM share, each under a lock of its own.
+
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use parking_lot::Mutex;
+use waxwing_contract::message;
+use waxwing_machine::entry_vm;
+use waxwing_machine::membership;
+use waxwing_process::clock;
+use waxwing_request::budget;
+use waxwing_route::freshness;
+use waxwing_route::table;
+use waxwing_timeline::stamp;
+use waxwing_units::id;
+use waxwing_units::time as units_time;
+
+use crate::contracts;
+use crate::front;
+use crate::pools;
+use crate::settings;
+
+/// How much sooner than a withdrawn key has to stop working keys are refused.
+const KEY_MARGIN: time::Duration = time::Duration::from_millis(300);
+
+/// The part of the memory that bodies of requests may take, as one in this many.
+const BODIES_MEMORY_PART: u64 = 4;
+
+/// The configuration in force.
+#[derive(Debug, Clone, Default)]
+pub struct InForce {
+    /// The newest table; none before any has come.
+    pub table: Option<sync::Arc<table::Table>>,
+    /// Failure domains whose backend servers get nothing, sorted.
+    pub evacuated: Vec<id::FailureDomainId>,
+    /// When the store was asked for what is in force, the last time that it answered.
+    pub confirmed_at: Option<units_time::MonoInstant>,
+}
+
+/// How far the process has come with ending.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[repr(u8)]
+pub enum Stage {
+    /// It serves.
+    Serving,
+    /// It serves, but tells callers to go elsewhere.
+    Leaving,
+    /// It takes no new requests.
+    Closed,
+}
+
+/// What the parts of an entry VM share.
+pub struct Vm {
+    /// The settings.
+    pub settings: settings::Checked,
+    /// What this machine tells others about itself.
+    pub about: membership::About,
+    /// How requests look on the wire.
+    pub front: Box<dyn front::Front>,
+    /// The configuration in force.
+    pub in_force: Mutex<InForce>,
+    /// Whether backend servers were read from the store.
+    pub has_servers: atomic::AtomicBool,
+    /// The fleet.
+    pub membership: Mutex<membership::Membership>,
+    /// The backend servers of all services.
+    pub pools: pools::Pools,
+    /// The tokens of all organisations.
+    pub contracts: contracts::Contracts,
+    /// Requests whose answers have not ended.
+    pub under_way: atomic::AtomicU64,
+    /// Bytes of request bodies that are kept.
+    pub kept_bytes: atomic::AtomicU64,
+    stage: atomic::AtomicU8,
+    socket: net::UdpSocket,
+}
+
+/// The shared state, as threads hold it.
+pub type Shared = sync::Arc<Vm>;
+
+impl Vm {
+    /// Creates the shared state of a machine that listens for others on `socket`.
+    pub fn new(
+        settings: settings::Checked,
+        front: Box<dyn front::Front>,
+        socket: net::UdpSocket,
+    ) -> Self {
+        let about = membership::About {
+            vm: settings.vm.clone(),
+            started: id::Incarnation(clock::wall_ms()),
+            failure_domain: settings.failure_domain.clone(),
+            peer_address: settings.peer_address,
+            entry_address: settings.entry_address,
+        };
+        Self {
+            membership: Mutex::new(membership::Membership::new(about.vm.clone())),
+            about,
+            front,
+            in_force: Mutex::default(),
+            has_servers: atomic::AtomicBool::new(false),
+            pools: pools::Pools::default(),
+            contracts: contracts::Contracts::default(),
+            under_way: atomic::AtomicU64::new(0),
+            kept_bytes: atomic::AtomicU64::new(0),
+            stage: atomic::AtomicU8::new(Stage::Serving as u8),
+            socket,
+            settings,
+        }
+    }
+
+    /// Returns the configuration in force.
+    pub fn in_force(&self) -> InForce {
+        self.in_force.lock().clone()
+    }
+
+    /// Returns the table in force.
+    pub fn table(&self) -> Option<sync::Arc<table::Table>> {
+        self.in_force.lock().table.clone()
+    }
+
+    /// Tells whether keys may be taken now.
+    pub fn allows_keys(&self) -> bool {
+        let withdrawal_max = self.settings.settings.withdrawal_max.map(units_time::Millis::duration);
+        let fence = freshness::Fence { withdrawal_max, margin: KEY_MARGIN };
+        let confirmed_at = self.in_force.lock().confirmed_at;
+        fence.allows_keys(clock::now(), confirmed_at)
+    }
+
+    /// Returns how far the process has come with ending.
+    pub fn stage(&self) -> Stage {
+        match self.stage.load(atomic::Ordering::Acquire) {
+            0 => Stage::Serving,
+            1 => Stage::Leaving,
+            _ => Stage::Closed,
+        }
+    }
+
+    /// Goes on to a later stage.
+    pub fn set_stage(&self, stage: Stage) {
+        self.stage.store(stage as u8, atomic::Ordering::Release);
+        log::info!("the process goes on to end: {stage:?}");
+    }
+
+    /// Tells whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.stage() == Stage::Serving
+            && self.has_servers.load(atomic::Ordering::Acquire)
+            && self.table().is_some()
+    }
+
+    /// Returns what may be repeated over all machines, and among how many that is shared.
+    pub fn repeats(&self) -> (budget::Allowance, usize) {
+        let settings = &self.settings.settings;
+        let allowance = budget::Allowance {
+            ratio_permille: settings.repeats_ratio.0,
+            slack: settings.repeats_slack,
+        };
+        (allowance, self.membership.lock().len())
+    }
+
+    /// Returns the bytes that bodies of requests may take.
+    pub fn kept_max_bytes(&self) -> u64 {
+        self.settings.settings.memory_max.0 / BODIES_MEMORY_PART
+    }
+
+    /// Returns the phase that others are told.
+    pub fn phase(&self) -> entry_vm::Phase {
+        match self.stage() {
+            Stage::Serving => entry_vm::Phase::Live,
+            Stage::Leaving | Stage::Closed => entry_vm::Phase::Leaving,
+        }
+    }
+
+    /// Returns the socket for other machines.
+    pub const fn socket(&self) -> &net::UdpSocket {
+        &self.socket
+    }
+
+    /// Returns how this machine signs datagrams.
+    pub fn peer(&self) -> message::Peer {
+        message::Peer { vm: self.about.vm.clone(), incarnation: self.about.started }
+    }
+
+    /// Returns a stamp for a datagram.
+    pub fn stamp(&self) -> stamp::Stamp {
+        stamp::Stamp { wall_ms: clock::wall_ms(), counter: 0 }
+    }
+}
