fix: reload on SIGHUP; know a cut of this machine from an outage of the store

Ruled out: a missed poll; the list was read, the server was kept on purpose. Now SIGHUP reads the settings again, the grace counts from the last question that failed, and heartbeats tell how steady the store was for others.

--- a/crates/waxwing-machine/src/membership.rs
+++ b/crates/waxwing-machine/src/membership.rs
@@ -72,6 +72,8 @@
     pub revision: id::Revision,
     /// Whether it goes on serving.
     pub phase: entry_vm::Phase,
+    /// How long the store has answered all its calls.
+    pub store_steady_ms: units_time::Millis,
 }
 
 /// The last heartbeat of a machine.
@@ -207,6 +209,14 @@
             .collect()
     }
 
+    /// Tells whether any machine that is heard knows that the store was there at `then`.
+    pub fn was_store_there(&self, now: units_time::MonoInstant, then: units_time::MonoInstant) -> bool {
+        let steady_since =
+            |heard: &Heard| heard.at.before(heard.heartbeat.store_steady_ms.duration());
+        let mut reachable = self.heard.iter().filter(|heard| heard.is_reachable(now));
+        reachable.any(|heard| steady_since(heard) < then && then < heard.at)
+    }
+
     /// Returns where heartbeats go: to all members, and to all that were heard lately.
     pub fn targets(&self, now: units_time::MonoInstant) -> Vec<net::SocketAddr> {
         let members = self.reading.members.iter().map(|member| &member.about);
--- a/crates/waxwing-machine/src/roster.rs
+++ b/crates/waxwing-machine/src/roster.rs
@@ -28,7 +28,6 @@
 pub struct Roster {
     servers: Vec<Known>,
     failed_at: Option<units_time::MonoInstant>,
-    back_at: Option<units_time::MonoInstant>,
 }
 
 impl Roster {
@@ -37,18 +36,26 @@
         &self.servers
     }
 
-    /// Notes that the store did not answer.
-    pub const fn store_failed(&mut self, now: units_time::MonoInstant) {
-        self.failed_at = Some(now);
+    /// Notes that the store did not answer what it was asked at `asked_at`.
+    pub const fn store_failed(&mut self, asked_at: units_time::MonoInstant) {
+        self.failed_at = Some(asked_at);
+    }
+
+    /// Returns when a question was asked that the store did not answer, if living servers may
+    /// still have to register again since.
+    pub fn failed_at(&self, now: units_time::MonoInstant) -> Option<units_time::MonoInstant> {
+        self.failed_at.filter(|failed_at| now.since(*failed_at) <= REGISTER_AGAIN_MAX)
+    }
+
+    /// Notes that it was this machine that was cut off, and that the store was there all the time.
+    pub const fn store_was_there(&mut self) {
+        self.failed_at = None;
     }
 
     /// Takes in what the store lists.
     pub fn read(&mut self, now: units_time::MonoInstant, mut listed: Vec<server::Registered>) {
-        if self.failed_at.take().is_some() {
-            self.back_at = Some(now);
-        }
         listed.sort_by(|a, b| a.server.cmp(&b.server));
-        let lapse_counts = self.lapse_counts(now);
+        let lapse_counts = self.failed_at(now).is_none();
         let before = std::mem::take(&mut self.servers);
         let known = |server: &id::BackendServerId| {
             before.binary_search_by(|known| known.registered.server.cmp(server)).ok()
@@ -68,11 +75,6 @@
         }
         self.servers = servers;
     }
-
-    /// Tells whether a server that is not listed has gone.
-    fn lapse_counts(&self, now: units_time::MonoInstant) -> bool {
-        self.back_at.is_none_or(|back_at| now.since(back_at) > REGISTER_AGAIN_MAX)
-    }
 }
 
 impl Known {
--- a/crates/waxwing-process/src/arguments.rs
+++ b/crates/waxwing-process/src/arguments.rs
@@ -33,6 +33,11 @@
 ///
 /// Ends the process where the settings are wrong, and where they were only to be checked.
 pub fn settings_or_exit<T: settings::Settings>() -> T {
+    settings_and_path_or_exit().0
+}
+
+/// Does what [`settings_or_exit`] does and returns the file's path as well, to read it again.
+pub fn settings_and_path_or_exit<T: settings::Settings>() -> (T, path::PathBuf) {
     let arguments = Arguments::parse();
     let settings = settings::load(&arguments.settings).unwrap_or_else(|error| {
         eprintln!("{error}");
@@ -43,7 +48,7 @@
         process::exit(0);
     }
     logs::begin();
-    settings
+    (settings, arguments.settings)
 }
 
 /// Ends the process where it could not run.
--- a/crates/waxwing-process/src/logs.rs
+++ b/crates/waxwing-process/src/logs.rs
@@ -3,9 +3,9 @@
 use logforth::filter::rustlog;
 
 /// The level where the environment sets none.
-const DEFAULT_LEVEL: &str = "info";
+const DEFAULT_LEVEL: &str = "warn,waxwing=info,event=info";
 
-/// Begins to write the log to standard error; `RUST_LOG` sets the level, `info` by default.
+/// Begins to write the log to standard error; `RUST_LOG` sets the level; by default, libraries only warn.
 ///
 /// A second call changes nothing.
 pub fn begin() {
--- a/crates/waxwing-process/src/signal.rs
+++ b/crates/waxwing-process/src/signal.rs
@@ -1,12 +1,22 @@
-//! Waits for the order to end.
+//! Waits for orders that come as signals.
 
 use std::io;
 use std::thread;
 
 use signal_hook::consts;
 use signal_hook::iterator;
+use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+/// What a process is told by a signal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Order {
+    /// To end: SIGTERM or SIGINT.
+    End,
+    /// To read its settings again: SIGHUP.
+    Reload,
+}
+
 /// Returns a channel that speaks when the process is told to end by SIGTERM or SIGINT.
 ///
 /// # Errors
@@ -22,3 +32,23 @@
     })?;
     Ok(receiver)
 }
+
+/// Returns a channel with all orders that the process gets.
+///
+/// # Errors
+///
+/// Returns an error where the signals can't be caught.
+pub fn orders() -> io::Result<mpsc::UnboundedReceiver<Order>> {
+    let all = [consts::SIGTERM, consts::SIGINT, consts::SIGHUP];
+    let mut signals = iterator::Signals::new(all)?;
+    let (sender, receiver) = mpsc::unbounded_channel();
+    thread::Builder::new().name("signals".to_owned()).spawn(move || {
+        for signal in signals.forever() {
+            let order = if signal == consts::SIGHUP { Order::Reload } else { Order::End };
+            if sender.send(order).is_err() {
+                return;
+            }
+        }
+    })?;
+    Ok(receiver)
+}
--- a/crates/waxwing-vm/src/carry.rs
+++ b/crates/waxwing-vm/src/carry.rs
@@ -138,7 +138,7 @@
     journey: &journey::Journey,
     tried: &mut Tried,
 ) -> refusal::Result<pools::Slot> {
-    let allows = |domain: &id::FailureDomainId| journey.allows(vm.settings.region_of(domain));
+    let allows = |domain: &id::FailureDomainId| journey.allows(vm.settings().region_of(domain));
     let object = journey.arrival.object.as_deref().filter(|_| journey.route.has_affinity);
     let want = placement::Want { object, allows: &allows, tried: &tried.servers };
     let fault = match journey.left() > SENT_LEFT_MIN {
--- a/crates/waxwing-vm/src/directory.rs
+++ b/crates/waxwing-vm/src/directory.rs
@@ -32,7 +32,7 @@
     match addresses.is_empty() {
         true => web::HttpResponse::ServiceUnavailable().finish(),
         false => {
-            let validity = vm.settings.settings.answer_validity;
+            let validity = vm.settings().settings.answer_validity;
             vm.front.directions(&addresses, units_time::Millis::duration(validity))
         }
     }
@@ -41,6 +41,7 @@
 /// Returns the machines that a caller may use: those of its failure domain, or else of its region,
 /// or else all.
 fn addresses(vm: &vm::Vm, question: &front::Question) -> Vec<net::SocketAddr> {
+    let settings = vm.settings();
     let membership = vm.membership.lock();
     let mut usable: Vec<&membership::About> =
         membership.reachable(clock::now(), entry_vm::Phase::Live);
@@ -48,13 +49,13 @@
         usable.push(&vm.about);
     }
     let region = question.region.as_ref().or_else(|| {
-        question.failure_domain.as_ref().and_then(|domain| vm.settings.region_of(domain))
+        question.failure_domain.as_ref().and_then(|domain| settings.region_of(domain))
     });
     let in_domain = |about: &&&membership::About| {
         question.failure_domain.as_ref() == Some(&about.failure_domain)
     };
     let in_region = |about: &&&membership::About| {
-        region.is_some() && vm.settings.region_of(&about.failure_domain) == region
+        region.is_some() && settings.region_of(&about.failure_domain) == region
     };
     let near: Vec<&membership::About> = usable.iter().filter(in_domain).copied().collect();
     let regional: Vec<&membership::About> = usable.iter().filter(in_region).copied().collect();
--- a/crates/waxwing-vm/src/follow.rs
+++ b/crates/waxwing-vm/src/follow.rs
@@ -10,6 +10,7 @@
 use waxwing_machine::membership;
 use waxwing_machine::placement;
 use waxwing_machine::roster;
+use waxwing_machine::server;
 use waxwing_platform::registry;
 use waxwing_process::clock;
 use waxwing_units::id;
@@ -43,7 +44,7 @@
 
 /// Follows the configuration; never returns.
 pub async fn configuration<R: registry::Registry>(vm: vm::Shared, registry: sync::Arc<R>) {
-    let apply_max = vm.settings.settings.apply_max.duration();
+    let apply_max = vm.settings().settings.apply_max.duration();
     let interval = (apply_max / CONFIGURATION_PART).min(INTERVAL_MAX);
     let mut was_answered = true;
     loop {
@@ -102,27 +103,42 @@
     registry: sync::Arc<R>,
     servers: Servers,
 ) {
-    let drain_max = vm.settings.settings.drain_max.duration();
+    let drain_max = vm.settings().settings.drain_max.duration();
     let interval = (drain_max / SERVERS_PART).min(INTERVAL_MAX);
     let mut was_answered = true;
     loop {
+        let asked_at = clock::now();
         let answered = registry.servers().await;
         note_store("backend servers", &mut was_answered, answered.as_ref().err());
         match answered {
             Ok(listed) => {
-                servers.lock().read(clock::now(), listed);
-                vm.has_servers.store(true, atomic::Ordering::Release);
+                let is_settled = take_in(&vm, &servers, listed);
                 refill(&vm, &servers);
-                ntex_time::sleep(interval).await;
+                ntex_time::sleep(if is_settled { interval } else { RETRY_INTERVAL }).await;
             }
             Err(_) => {
-                servers.lock().store_failed(clock::now());
+                servers.lock().store_failed(asked_at);
+                vm.note_store_failed();
                 ntex_time::sleep(RETRY_INTERVAL).await;
             }
         }
     }
 }
 
+/// Takes in what the store lists; returns whether servers that are missing count as gone.
+fn take_in(vm: &vm::Vm, servers: &Servers, listed: Vec<server::Registered>) -> bool {
+    let now = clock::now();
+    let mut roster = servers.lock();
+    if let Some(failed_at) = roster.failed_at(now)
+        && vm.membership.lock().was_store_there(now, failed_at)
+    {
+        roster.store_was_there();
+    }
+    roster.read(now, listed);
+    vm.has_servers.store(true, atomic::Ordering::Release);
+    roster.failed_at(now).is_none()
+}
+
 /// Works out shares of contracts and owners of servers again; never returns.
 pub async fn tick(vm: vm::Shared, servers: Servers) {
     loop {
@@ -138,7 +154,7 @@
         return;
     };
     let membership = vm.membership.lock();
-    vm.contracts.update(&table, &membership, vm.settings.settings.contract_slack);
+    vm.contracts.update(&table, &membership, vm.settings().settings.contract_slack);
 }
 
 /// Takes in which servers there are, and which of them this machine owns.
@@ -175,7 +191,7 @@
 
 /// Registers this machine and keeps it registered; never returns.
 pub async fn registration<R: registry::Registry>(vm: vm::Shared, registry: sync::Arc<R>) {
-    let lease = vm.settings.settings.registration_lease.duration();
+    let lease = vm.settings().settings.registration_lease.duration();
     loop {
         if vm.stage() != vm::Stage::Serving {
             return;
--- a/crates/waxwing-vm/src/peers.rs
+++ b/crates/waxwing-vm/src/peers.rs
@@ -70,8 +70,12 @@
         let membership = vm.membership.lock();
         (membership.targets(clock::now()), membership.revision())
     };
-    let heartbeat =
-        membership::Heartbeat { about: vm.about.clone(), revision, phase: vm.phase() };
+    let heartbeat = membership::Heartbeat {
+        about: vm.about.clone(),
+        revision,
+        phase: vm.phase(),
+        store_steady_ms: vm.store_steady(),
+    };
     for target in targets {
         send(vm, target, peer::Body::Member(heartbeat.clone()));
     }
--- a/crates/waxwing-vm/src/run.rs
+++ b/crates/waxwing-vm/src/run.rs
@@ -42,7 +42,7 @@
 /// The part of the time to end in which the process still takes requests: one in this many.
 const LEAVING_PART: u32 = 2;
 
-/// Runs an entry VM until it is told to end.
+/// Runs an entry VM until it is told to end; `reload` reads its settings again.
 ///
 /// # Errors
 ///
@@ -51,6 +51,7 @@
     settings: settings::Checked,
     front: Box<dyn front::Front>,
     registry: R,
+    reload: impl Fn() -> Option<settings::Checked>,
 ) -> eyre::Result<()> {
     let peer_address = settings.peer_address;
     let socket = net::UdpSocket::bind(peer_address)
@@ -63,11 +64,25 @@
     follow_store(&vm, &registry);
     serve_directory(&vm)?;
     serve_callers(&vm)?;
-    signal::order_to_end()?.await?;
+    obey(&vm, reload).await?;
     end(&vm, registry.as_ref()).await;
     Ok(())
 }
 
+/// Reads the settings again as often as the process is told to, until it is told to end.
+async fn obey(
+    vm: &vm::Shared,
+    reload: impl Fn() -> Option<settings::Checked>,
+) -> eyre::Result<()> {
+    let mut orders = signal::orders()?;
+    while let Some(signal::Order::Reload) = orders.recv().await {
+        if let Some(settings) = reload() {
+            vm.set_settings(settings);
+        }
+    }
+    Ok(())
+}
+
 fn start(
     name: &str,
     vm: &vm::Shared,
@@ -93,7 +108,7 @@
     let server = web::HttpServer::new(async move || {
         web::App::new().state(shared.clone()).default_service(web::route().to(directory::answer))
     });
-    let (directory, readiness) = (vm.settings.directory_address, vm.settings.readiness_address);
+    let (directory, readiness) = (vm.settings().directory_address, vm.settings().readiness_address);
     let server = server
         .workers(1)
         .disable_signals()
@@ -118,9 +133,9 @@
     let http = http::HttpServiceConfig::new()
         .set_keepalive_timeout(IDLE_MAX)
         .set_client_timeout(HEAD_MAX);
-    let address = vm.settings.entry_address;
+    let address = vm.settings().entry_address;
     let server = server
-        .workers(vm.settings.settings.workers)
+        .workers(vm.settings().settings.workers)
         .disable_signals()
         .config(ntex::SharedCfg::new("entry").add(http))
         .bind(address)
@@ -141,7 +156,7 @@
 /// Tells everybody, goes on for as long as callers may still come, and finishes what there is.
 async fn end<R: registry::Registry>(vm: &vm::Shared, registry: &R) {
     let began_at = clock::now();
-    let end_max = vm.settings.settings.end_max.duration();
+    let end_max = vm.settings().settings.end_max.duration();
     vm.set_stage(vm::Stage::Leaving);
     peers::beat(vm);
     ntex_time::sleep((end_max / LEAVING_PART).saturating_sub(clock::now().since(began_at))).await;
--- a/crates/waxwing-vm/src/settings.rs
+++ b/crates/waxwing-vm/src/settings.rs
@@ -24,7 +24,7 @@
 
 /// The settings of an entry VM in one process.
 #[serde_as]
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Settings {
     /// The name of this machine.
@@ -103,7 +103,7 @@
 }
 
 /// Settings of which each needed field is known to be there.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Checked {
     /// The name of this machine.
     pub vm: id::VmId,
@@ -163,6 +163,20 @@
 }
 
 impl Checked {
+    /// Tells whether a process with these settings can go on with `other` without a restart.
+    pub fn allows_change_to(&self, other: &Self) -> bool {
+        let fixed = |of: &Self| {
+            (
+                of.vm.clone(),
+                of.failure_domain.clone(),
+                [of.entry_address, of.directory_address, of.readiness_address],
+                [of.peer_address, of.store_address],
+                of.settings.workers,
+            )
+        };
+        fixed(self) == fixed(other)
+    }
+
     /// Returns the region of a failure domain.
     pub fn region_of(&self, failure_domain: &id::FailureDomainId) -> Option<&id::RegionId> {
         let place = self.settings.places.iter().find(|p| p.failure_domain == *failure_domain);
--- a/crates/waxwing-vm/src/vm.rs
+++ b/crates/waxwing-vm/src/vm.rs
@@ -53,8 +53,8 @@
 
 /// What the parts of an entry VM share.
 pub struct Vm {
-    /// The settings.
-    pub settings: settings::Checked,
+    /// The settings, which may be read again.
+    settings: Mutex<sync::Arc<settings::Checked>>,
     /// What this machine tells others about itself.
     pub about: membership::About,
     /// How requests look on the wire.
@@ -74,6 +74,7 @@
     /// Bytes of request bodies that are kept.
     pub kept_bytes: atomic::AtomicU64,
     stage: atomic::AtomicU8,
+    store_failed_at: Mutex<units_time::MonoInstant>,
     socket: net::UdpSocket,
 }
 
@@ -105,8 +106,27 @@
             under_way: atomic::AtomicU64::new(0),
             kept_bytes: atomic::AtomicU64::new(0),
             stage: atomic::AtomicU8::new(Stage::Serving as u8),
+            store_failed_at: Mutex::new(clock::now()),
             socket,
-            settings,
+            settings: Mutex::new(sync::Arc::new(settings)),
+        }
+    }
+
+    /// Returns the settings.
+    pub fn settings(&self) -> sync::Arc<settings::Checked> {
+        self.settings.lock().clone()
+    }
+
+    /// Goes on with other settings; those that need a restart change nothing.
+    pub fn set_settings(&self, settings: settings::Checked) {
+        let mut current = self.settings.lock();
+        match current.allows_change_to(&settings) {
+            true if **current == settings => log::info!("the settings are as they were"),
+            true => {
+                log::info!("new settings are in force");
+                *current = sync::Arc::new(settings);
+            }
+            false => log::warn!("the new settings need a restart; the old ones stay in force"),
         }
     }
 
@@ -122,7 +142,7 @@
 
     /// Tells whether keys may be taken now.
     pub fn allows_keys(&self) -> bool {
-        let withdrawal_max = self.settings.settings.withdrawal_max.map(units_time::Millis::duration);
+        let withdrawal_max = self.settings().settings.withdrawal_max.map(units_time::Millis::duration);
         let fence = freshness::Fence { withdrawal_max, margin: KEY_MARGIN };
         let confirmed_at = self.in_force.lock().confirmed_at;
         fence.allows_keys(clock::now(), confirmed_at)
@@ -152,7 +172,8 @@
 
     /// Returns what may be repeated over all machines, and among how many that is shared.
     pub fn repeats(&self) -> (budget::Allowance, usize) {
-        let settings = &self.settings.settings;
+        let checked = self.settings();
+        let settings = &checked.settings;
         let allowance = budget::Allowance {
             ratio_permille: settings.repeats_ratio.0,
             slack: settings.repeats_slack,
@@ -162,7 +183,18 @@
 
     /// Returns the bytes that bodies of requests may take.
     pub fn kept_max_bytes(&self) -> u64 {
-        self.settings.settings.memory_max.0 / BODIES_MEMORY_PART
+        self.settings().settings.memory_max.0 / BODIES_MEMORY_PART
+    }
+
+    /// Notes that the store did not answer.
+    pub fn note_store_failed(&self) {
+        *self.store_failed_at.lock() = clock::now();
+    }
+
+    /// Returns how long the store has answered all calls.
+    pub fn store_steady(&self) -> units_time::Millis {
+        let steady = clock::now().since(*self.store_failed_at.lock());
+        units_time::Millis(u64::try_from(steady.as_millis()).unwrap_or(u64::MAX))
     }
 
     /// Returns the phase that others are told.
