--- a/crates/waxwing-contract/tests/contract/main.rs
+++ b/crates/waxwing-contract/tests/contract/main.rs
@@ -2,5 +2,7 @@
 
 mod account;
 mod holder;
+mod purse;
 mod seat;
+mod share;
 mod support;
--- /dev/null
+++ b/crates/waxwing-contract/tests/contract/purse.rs
@@ -0,0 +1,125 @@
+//! The tokens of one organisation on one machine.
+
+use std::time;
+
+use waxwing_contract::contract;
+use waxwing_contract::purse;
+use waxwing_units::rate;
+use waxwing_units::time as units_time;
+
+use crate::support::{at_ms, part};
+
+const FOREVER: units_time::MonoInstant = units_time::MonoInstant(u64::MAX);
+
+fn tokens(count: u64) -> rate::NanoTokens {
+    rate::Tokens(count).nano()
+}
+
+fn full(rate_per_s: u64, burst: u64) -> purse::Purse {
+    let mut purse = purse::Purse::empty(at_ms(0));
+    purse.set_part(at_ms(0), part(rate_per_s, burst), FOREVER);
+    purse
+}
+
+/// Spends as much as there is at `now`.
+fn spend_all(purse: &mut purse::Purse, now: units_time::MonoInstant) -> u64 {
+    (0..10_000).take_while(|_| purse.spend(now)).count() as u64
+}
+
+#[test]
+fn a_purse_begins_empty_so_that_a_restart_gives_nothing_away() {
+    assert!(!full(10, 10).spend(at_ms(0)));
+}
+
+#[test]
+fn it_fills_at_its_rate_up_to_its_burst() {
+    let mut purse = full(10, 5);
+    assert_eq!(spend_all(&mut purse, at_ms(301)), 3);
+    assert_eq!(spend_all(&mut purse, at_ms(60_000)), 5);
+}
+
+#[test]
+fn what_is_lent_can_not_be_spent_and_leaves_no_room_until_it_has_expired() {
+    let mut purse = full(10, 5);
+    let lent = purse.lend(at_ms(10_000), tokens(4), purse::Need::Waiting);
+    assert_eq!(lent, tokens(4));
+    assert_eq!(spend_all(&mut purse, at_ms(10_900)), 1);
+    assert_eq!(spend_all(&mut purse, at_ms(20_000)), 5);
+}
+
+#[test]
+fn a_loan_can_be_spent_until_it_expires_counted_from_the_question() {
+    let mut borrower = full(0, 0);
+    borrower.receive(at_ms(400), at_ms(0), tokens(3));
+    assert!(borrower.spend(at_ms(990)));
+    assert!(!borrower.spend(at_ms(1_000)));
+    borrower.receive(at_ms(2_500), at_ms(1_000), tokens(3));
+    assert!(!borrower.spend(at_ms(2_500)));
+}
+
+#[test]
+fn ahead_of_need_only_what_is_beyond_the_reserve_is_lent() {
+    let mut purse = full(10, 8);
+    assert_eq!(purse.lend(at_ms(10_000), tokens(8), purse::Need::Ahead), tokens(4));
+    assert_eq!(purse.lend(at_ms(10_000), tokens(8), purse::Need::Ahead), tokens(0));
+    assert_eq!(purse.lend(at_ms(10_000), tokens(8), purse::Need::Waiting), tokens(4));
+}
+
+#[test]
+fn a_part_ends_with_the_registration_that_it_rests_on() {
+    let mut purse = purse::Purse::empty(at_ms(0));
+    purse.set_part(at_ms(0), part(10, 5), at_ms(5_000));
+    assert!(purse.spend(at_ms(4_999)));
+    assert!(!purse.spend(at_ms(5_000)));
+    assert_eq!(purse.lend(at_ms(5_000), tokens(1), purse::Need::Waiting), tokens(0));
+    assert!(!purse.has_part(at_ms(5_000)));
+}
+
+#[test]
+fn a_smaller_part_counts_at_once() {
+    let mut purse = full(10, 10);
+    purse.set_part(at_ms(10_000), part(10, 2), FOREVER);
+    assert_eq!(spend_all(&mut purse, at_ms(10_000)), 2);
+}
+
+#[test]
+fn it_tells_when_the_next_token_is_there() {
+    let mut purse = full(10, 5);
+    let in_100_ms = purse.next_token_in(at_ms(0)).expect("a rate above zero");
+    assert_eq!(in_100_ms, time::Duration::from_millis(100));
+    assert_eq!(full(0, 0).next_token_in(at_ms(0)), None);
+    assert_eq!(contract::Part::NONE, part(0, 0));
+}
+
+/// The bound: with loans back and forth, some of them lost, no window sees more than rate and burst.
+#[test]
+fn loans_never_widen_rate_and_burst() {
+    use rand::{Rng, SeedableRng};
+    for seed in 0..300 {
+        let mut rng = rand::rngs::SmallRng::seed_from_u64(seed);
+        let mut purses: Vec<purse::Purse> = (0..4).map(|_| full(5, 4)).collect();
+        let (rate_per_s, burst) = (20, 16);
+        let mut spent_at_ms: Vec<u64> = Vec::new();
+        for ms in (0..20_000).step_by(20) {
+            let now = at_ms(ms);
+            let (from, to) = (rng.random_range(0..4), rng.random_range(0..4));
+            if from != to && rng.random_bool(0.3) {
+                let need =
+                    if rng.random_bool(0.5) { purse::Need::Ahead } else { purse::Need::Waiting };
+                let lent = purses[from].lend(now, tokens(rng.random_range(1..5)), need);
+                if rng.random_bool(0.8) {
+                    purses[to].receive(now, now.before(time::Duration::from_millis(30)), lent);
+                }
+            }
+            let spender = rng.random_range(0..4);
+            let wishes = if rng.random_bool(0.1) { 10 } else { 1 };
+            let spent = (0..wishes).filter(|_| purses[spender].spend(now)).count();
+            spent_at_ms.extend(std::iter::repeat_n(ms, spent));
+        }
+        for (first, start_ms) in spent_at_ms.iter().enumerate() {
+            let within = spent_at_ms[first..].iter().take_while(|ms| **ms < start_ms + 2_000);
+            let most = burst + rate_per_s * 2;
+            assert!(within.count() as u64 <= most, "seed {seed}, from {start_ms} ms");
+        }
+    }
+}
--- /dev/null
+++ b/crates/waxwing-contract/tests/contract/share.rs
@@ -0,0 +1,66 @@
+//! How a contract is shared out among members that disagree about who belongs to the fleet.
+
+use rand::{Rng, SeedableRng};
+use waxwing_contract::contract;
+use waxwing_contract::share;
+use waxwing_units::id;
+
+use crate::support::{part, vm};
+
+fn kiln() -> id::OrganisationId {
+    "kiln".parse().expect("a valid name")
+}
+
+fn members(count: usize) -> Vec<id::VmId> {
+    (0..count).map(|n| vm(&format!("vm-{n:02}"))).collect()
+}
+
+fn share_of(whole: contract::Part, me: &id::VmId, members: &[id::VmId]) -> Option<u64> {
+    share::share_of(&kiln(), whole, me, members).map(|share| share.one_in)
+}
+
+#[test]
+fn members_hold_equal_shares() {
+    let members = members(7);
+    for me in &members {
+        assert_eq!(share_of(part(70, 70), me, &members), Some(7));
+    }
+    assert_eq!(share_of(part(70, 70), &vm("stranger"), &members), None);
+}
+
+#[test]
+fn a_small_burst_is_held_by_as_few_as_it_has_tokens() {
+    let members = members(7);
+    let holders = members.iter().filter_map(|me| share_of(part(2, 3), me, &members));
+    assert_eq!(holders.collect::<Vec<u64>>(), [3, 3, 3]);
+    let whole = part(0, 0);
+    assert_eq!(members.iter().filter_map(|me| share_of(whole, me, &members)).count(), 1);
+}
+
+#[test]
+fn a_share_is_rounded_down() {
+    let share = share::Share { one_in: 3 };
+    assert!(share.of(part(10, 10)).burst_tokens.0 * 3 <= part(10, 10).burst_tokens.0);
+    assert_eq!(share.of(part(10, 10)).rate_per_second.milli_per_second(), 3_333);
+}
+
+/// Each holder has a reading of its own, which names all other holders and any number of others.
+#[test]
+fn shares_never_sum_up_to_more_than_the_contract_whatever_members_have_read() {
+    for seed in 0..5_000 {
+        let mut rng = rand::rngs::SmallRng::seed_from_u64(seed);
+        let all = members(rng.random_range(1..12));
+        let holders: Vec<&id::VmId> = all.iter().filter(|_| rng.random_bool(0.6)).collect();
+        let whole = part(100, rng.random_range(0..20));
+        let mut sum = 0.0;
+        for me in &holders {
+            let reading: Vec<id::VmId> = all
+                .iter()
+                .filter(|vm| holders.contains(vm) || rng.random_bool(0.5))
+                .cloned()
+                .collect();
+            sum += share_of(whole, me, &reading).map_or(0.0, |one_in| 1.0 / one_in as f64);
+        }
+        assert!(sum <= 1.0 + 1e-9, "seed {seed}: shares sum up to {sum}");
+    }
+}
--- a/crates/waxwing-machine/src/membership.rs
+++ b/crates/waxwing-machine/src/membership.rs
@@ -163,8 +163,10 @@
     }
 
     fn is_known_to_all(&self, created: id::Revision) -> bool {
-        let names_me = self.reading.members.iter().any(|member| member.about.vm == self.me);
-        names_me
+        // A reading from before this registration does not name those that came in between.
+        let is_me =
+            |member: &Member| member.about.vm == self.me && member.created == created;
+        self.reading.members.iter().any(is_me)
             && self
                 .reading
                 .members
@@ -210,7 +212,11 @@
     }
 
     /// Tells whether any machine that is heard knows that the store was there at `then`.
-    pub fn was_store_there(&self, now: units_time::MonoInstant, then: units_time::MonoInstant) -> bool {
+    pub fn was_store_there(
+        &self,
+        now: units_time::MonoInstant,
+        then: units_time::MonoInstant,
+    ) -> bool {
         let steady_since =
             |heard: &Heard| heard.at.before(heard.heartbeat.store_steady_ms.duration());
         let mut reachable = self.heard.iter().filter(|heard| heard.is_reachable(now));
--- a/crates/waxwing-machine/src/placement.rs
+++ b/crates/waxwing-machine/src/placement.rs
@@ -124,9 +124,10 @@
             .map(|known| {
                 let found = before
                     .binary_search_by(|p| p.known.registered.server.cmp(&known.registered.server));
-                let same = found.ok().map(|at| &before[at]).filter(|place| {
-                    place.known.registered.started == known.registered.started
-                });
+                let same = found
+                    .ok()
+                    .map(|at| &before[at])
+                    .filter(|place| place.known.registered.started == known.registered.started);
                 Place::next(now, same, known, around)
             })
             .collect();
@@ -180,12 +181,7 @@
     }
 
     /// Notes that a server says of itself that it stays cold for `left`.
-    pub fn set_cold(
-        &mut self,
-        now: units_time::MonoInstant,
-        lease: &Lease,
-        left: time::Duration,
-    ) {
+    pub fn set_cold(&mut self, now: units_time::MonoInstant, lease: &Lease, left: time::Duration) {
         if let Some(place) = self.place_mut(lease) {
             place.known.cold_until = place.known.cold_until.max(now.after(left));
         }
@@ -214,8 +210,7 @@
         known: &roster::Known,
         around: &Surroundings<'_>,
     ) -> Self {
-        let is_evacuated =
-            around.evacuated.binary_search(&known.registered.failure_domain).is_ok();
+        let is_evacuated = around.evacuated.binary_search(&known.registered.failure_domain).is_ok();
         let mut place = before.cloned().unwrap_or_else(|| Self {
             known: known.clone(),
             strain: strain::Strain::default(),
--- a/crates/waxwing-machine/src/roster.rs
+++ b/crates/waxwing-machine/src/roster.rs
@@ -87,10 +87,9 @@
         match before {
             // A registration may be overtaken by one that was sent before it.
             Some(known) if order(&known.registered) >= order(registered) => known.clone(),
-            _ => Self {
-                registered: registered.clone(),
-                cold_until: now.after(registered.cold_left),
-            },
+            _ => {
+                Self { registered: registered.clone(), cold_until: now.after(registered.cold_left) }
+            }
         }
     }
 }
--- a/crates/waxwing-machine/tests/machine/main.rs
+++ b/crates/waxwing-machine/tests/machine/main.rs
@@ -2,4 +2,7 @@
 
 mod backend_server;
 mod fleet;
+mod membership;
+mod placement;
 mod pool;
+mod roster;
--- /dev/null
+++ b/crates/waxwing-machine/tests/machine/membership.rs
@@ -0,0 +1,207 @@
+//! Who may hold shares of contracts.
+
+use std::time;
+
+use rand::{Rng, SeedableRng};
+use waxwing_machine::entry_vm;
+use waxwing_machine::membership;
+use waxwing_units::id;
+use waxwing_units::time as units_time;
+
+fn at_ms(ms: u64) -> units_time::MonoInstant {
+    units_time::MonoInstant(0).after(time::Duration::from_millis(ms))
+}
+
+fn about(name: &str) -> membership::About {
+    membership::About {
+        vm: name.parse().expect("a valid name"),
+        started: id::Incarnation(1),
+        failure_domain: "attica-a".parse().expect("a valid name"),
+        peer_address: "127.0.0.1:1".parse().expect("a valid address"),
+        entry_address: "127.0.0.1:2".parse().expect("a valid address"),
+    }
+}
+
+fn member(name: &str, created: u64) -> membership::Member {
+    membership::Member {
+        about: about(name),
+        created: id::Revision(created),
+        is_admitted: false,
+    }
+}
+
+fn reading(revision: u64, members: &[(&str, u64)]) -> membership::Reading {
+    let members = members.iter().map(|(name, created)| member(name, *created)).collect();
+    membership::Reading { revision: id::Revision(revision), members }
+}
+
+fn heartbeat(name: &str, revision: u64) -> membership::Heartbeat {
+    membership::Heartbeat {
+        about: about(name),
+        revision: id::Revision(revision),
+        phase: entry_vm::Phase::Live,
+        store_steady_ms: units_time::Millis(0),
+    }
+}
+
+fn registered(created: u64, valid_until_ms: u64) -> membership::Registration {
+    membership::Registration {
+        created: id::Revision(created),
+        is_admitted: false,
+        valid_until: at_ms(valid_until_ms),
+    }
+}
+
+fn fleet(name: &str) -> membership::Membership {
+    membership::Membership::new(name.parse().expect("a valid name"))
+}
+
+#[test]
+fn a_machine_alone_holds_once_it_has_read_its_own_name() {
+    let mut fleet = fleet("a");
+    fleet.set_registration(Some(registered(5, 1_000)));
+    assert!(!fleet.admit());
+    fleet.read(reading(6, &[("a", 5)]));
+    assert!(fleet.admit());
+    assert_eq!(fleet.holders(at_ms(0)).map(|holders| holders.len()), Some(1));
+}
+
+#[test]
+fn a_machine_that_joins_waits_until_all_others_have_read_its_name() {
+    let mut fleet = fleet("c");
+    fleet.set_registration(Some(registered(9, 1_000)));
+    fleet.read(reading(9, &[("a", 1), ("b", 2), ("c", 9)]));
+    fleet.hear(at_ms(0), heartbeat("a", 9));
+    fleet.hear(at_ms(0), heartbeat("b", 8));
+    assert!(!fleet.admit());
+    assert_eq!(fleet.holders(at_ms(0)), None);
+    fleet.hear(at_ms(1), heartbeat("b", 9));
+    assert!(fleet.admit());
+    assert!(fleet.holders(at_ms(1)).is_some());
+}
+
+#[test]
+fn a_machine_that_can_not_renew_its_registration_stops_in_time() {
+    let mut fleet = fleet("a");
+    fleet.set_registration(Some(registered(5, 1_000)));
+    fleet.read(reading(6, &[("a", 5)]));
+    fleet.admit();
+    assert!(fleet.holders(at_ms(999)).is_some());
+    assert_eq!(fleet.holders(at_ms(1_000)), None);
+}
+
+#[test]
+fn an_older_reading_changes_nothing() {
+    let mut fleet = fleet("a");
+    fleet.read(reading(9, &[("a", 1), ("b", 2)]));
+    fleet.read(reading(8, &[("a", 1)]));
+    assert_eq!(fleet.len(), 2);
+}
+
+#[test]
+fn others_tell_whether_the_store_was_there_while_this_machine_was_cut_off() {
+    let mut fleet = fleet("a");
+    let steady = |ms| membership::Heartbeat {
+        store_steady_ms: units_time::Millis(ms),
+        ..heartbeat("b", 1)
+    };
+    fleet.hear(at_ms(9_000), steady(500));
+    assert!(!fleet.was_store_there(at_ms(9_000), at_ms(8_000)));
+    fleet.hear(at_ms(9_000), steady(5_000));
+    assert!(fleet.was_store_there(at_ms(9_000), at_ms(8_000)));
+    assert!(!fleet.was_store_there(at_ms(20_000), at_ms(8_000)), "a silent machine tells nothing");
+}
+
+#[test]
+fn a_machine_that_fell_silent_is_not_reachable() {
+    let mut fleet = fleet("a");
+    fleet.hear(at_ms(0), heartbeat("b", 1));
+    assert_eq!(fleet.reachable(at_ms(1_000), entry_vm::Phase::Live).len(), 1);
+    assert_eq!(fleet.reachable(at_ms(2_000), entry_vm::Phase::Live).len(), 0);
+    assert_eq!(fleet.reachable(at_ms(1_000), entry_vm::Phase::Leaving).len(), 0);
+}
+
+/// A store and machines that join, lapse, read late and lose heartbeats.
+struct World {
+    revision: u64,
+    names: Vec<(String, u64)>,
+    machines: Vec<(String, membership::Membership)>,
+}
+
+impl World {
+    fn new() -> Self {
+        let machines = (0..6).map(|n| format!("vm-{n}"));
+        let machines = machines.map(|name| (name.clone(), fleet(&name))).collect();
+        Self { revision: 1, names: Vec::new(), machines }
+    }
+
+    fn register(&mut self, at: usize) {
+        self.revision += 1;
+        let name = self.machines[at].0.clone();
+        let found = self.names.iter().position(|(found, _)| *found == name);
+        let created = match found {
+            Some(found) => self.names[found].1,
+            None => {
+                self.names.push((name, self.revision));
+                self.revision
+            }
+        };
+        self.machines[at].1.set_registration(Some(registered(created, u64::MAX / 2_000_000)));
+    }
+
+    /// The registration lapses; the machine stopped using it before.
+    fn lapse(&mut self, at: usize) {
+        self.revision += 1;
+        self.machines[at].1.set_registration(None);
+        let name = self.machines[at].0.clone();
+        self.names.retain(|(found, _)| *found != name);
+    }
+
+    fn read(&mut self, at: usize) {
+        let members: Vec<(&str, u64)> =
+            self.names.iter().map(|(name, created)| (name.as_str(), *created)).collect();
+        let reading = reading(self.revision, &members);
+        self.machines[at].1.read(reading);
+    }
+
+    fn beat(&mut self, from: usize, to: usize) {
+        let revision = self.machines[from].1.revision().0;
+        let heartbeat = heartbeat(&self.machines[from].0.clone(), revision);
+        self.machines[to].1.hear(at_ms(0), heartbeat);
+        self.machines[to].1.admit();
+    }
+
+    fn check(&self, seed: u64) {
+        let now = at_ms(0);
+        let holders: Vec<(&str, Vec<id::VmId>)> = self
+            .machines
+            .iter()
+            .filter_map(|(name, fleet)| Some((name.as_str(), fleet.holders(now)?)))
+            .collect();
+        for (name, reading) in &holders {
+            for (other, _) in &holders {
+                let is_named = reading.iter().any(|vm| vm.as_str() == *other);
+                assert!(is_named, "seed {seed}: the reading of {name} does not name {other}");
+            }
+        }
+    }
+}
+
+#[test]
+fn each_holder_has_read_the_names_of_all_other_holders() {
+    for seed in 0..2_000 {
+        let mut rng = rand::rngs::SmallRng::seed_from_u64(seed);
+        let mut world = World::new();
+        for _ in 0..120 {
+            let (one, other) = (rng.random_range(0..6), rng.random_range(0..6));
+            match rng.random_range(0..10) {
+                0 => world.register(one),
+                1 if rng.random_bool(0.3) => world.lapse(one),
+                2..5 => world.read(one),
+                _ if one != other => world.beat(one, other),
+                _ => (),
+            }
+            world.check(seed);
+        }
+    }
+}
--- /dev/null
+++ b/crates/waxwing-machine/tests/machine/placement.rs
@@ -0,0 +1,187 @@
+//! The choice among all backend servers of a service.
+
+use std::time;
+
+use waxwing_machine::placement;
+use waxwing_machine::roster;
+use waxwing_machine::server;
+use waxwing_machine::strain;
+use waxwing_units::id;
+use waxwing_units::rate;
+use waxwing_units::time as units_time;
+
+fn at_ms(ms: u64) -> units_time::MonoInstant {
+    units_time::MonoInstant(0).after(time::Duration::from_millis(ms))
+}
+
+fn known(name: &str, domain: &str) -> roster::Known {
+    let registered = server::Registered {
+        server: name.parse().expect("a valid name"),
+        started: id::Incarnation(1),
+        service: "ledger".parse().expect("a valid name"),
+        failure_domain: domain.parse().expect("a valid name"),
+        address: "127.0.0.1:80".parse().expect("a valid address"),
+        slots: 2,
+        state: server::State::Ready,
+        cold_left: time::Duration::ZERO,
+        sequence: 1,
+    };
+    roster::Known { registered, cold_until: at_ms(0) }
+}
+
+const OPTIONS: placement::Options = placement::Options { homes: 2, queued_max: 1 };
+
+fn pool_of(known: &[roster::Known], evacuated: &[id::FailureDomainId], is_owner: bool) -> placement::Pool {
+    let mut pool = placement::Pool::new(OPTIONS);
+    update(&mut pool, at_ms(0), known, evacuated, is_owner);
+    pool
+}
+
+fn update(
+    pool: &mut placement::Pool,
+    now: units_time::MonoInstant,
+    known: &[roster::Known],
+    evacuated: &[id::FailureDomainId],
+    is_owner: bool,
+) {
+    let known: Vec<&roster::Known> = known.iter().collect();
+    let owns = |_: &id::BackendServerId| is_owner;
+    let around = placement::Surroundings {
+        evacuated,
+        owns: &owns,
+        cold_rate_per_second: rate::TokenRate::per_second(4),
+    };
+    pool.update(now, &known, &around);
+}
+
+fn want<'a>(object: &'a str, tried: &'a [id::BackendServerId]) -> placement::Want<'a> {
+    placement::Want { object: Some(object), allows: &|_| true, tried }
+}
+
+fn begin(pool: &mut placement::Pool, ms: u64, object: &str) -> Option<placement::Lease> {
+    match pool.begin(at_ms(ms), &want(object, &[])) {
+        placement::Choice::Server(lease) => Some(lease),
+        placement::Choice::Full | placement::Choice::Nobody => None,
+    }
+}
+
+fn servers(count: usize) -> Vec<roster::Known> {
+    (0..count).map(|n| known(&format!("s-{n}"), "lautoka")).collect()
+}
+
+#[test]
+fn an_object_goes_to_its_homes_and_further_only_where_they_are_full() {
+    let mut pool = pool_of(&servers(8), &[], false);
+    let homes: Vec<id::BackendServerId> =
+        (0..6).filter_map(|_| begin(&mut pool, 0, "batch-7")).map(|lease| lease.server).collect();
+    let mut distinct = homes.clone();
+    distinct.sort();
+    distinct.dedup();
+    assert_eq!((homes.len(), distinct.len()), (6, 2));
+    let next = begin(&mut pool, 0, "batch-7").expect("another server has room");
+    assert!(!distinct.contains(&next.server));
+}
+
+#[test]
+fn two_machines_choose_the_same_homes() {
+    let (mut one, mut other) = (pool_of(&servers(8), &[], true), pool_of(&servers(8), &[], false));
+    for object in ["a", "b", "c", "d"] {
+        assert_eq!(begin(&mut one, 0, object), begin(&mut other, 0, object));
+    }
+}
+
+#[test]
+fn a_server_that_goes_moves_only_its_own_objects() {
+    let all = servers(8);
+    let objects: Vec<String> = (0..200).map(|n| format!("object-{n}")).collect();
+    let first_homes = |known: &[roster::Known]| -> Vec<String> {
+        let home = |object: &String| {
+            let mut pool = pool_of(known, &[], false);
+            begin(&mut pool, 0, object).expect("room").server.to_string()
+        };
+        objects.iter().map(home).collect()
+    };
+    let (before, after) = (first_homes(&all), first_homes(&all[1..]));
+    let moved = before.iter().zip(&after).filter(|(before, after)| before != after);
+    assert!(moved.clone().all(|(before, _)| before == "s-0"));
+    assert!(moved.count() > 0);
+}
+
+#[test]
+fn a_leaving_an_evacuated_a_tried_and_a_forbidden_server_get_nothing() {
+    let mut leaving = known("s-0", "lautoka");
+    leaving.registered.state = server::State::Draining;
+    let all = [leaving, known("s-1", "labasa"), known("s-2", "lakeba"), known("s-3", "nausori")];
+    let evacuated: Vec<id::FailureDomainId> = vec!["labasa".parse().expect("a valid name")];
+    let mut pool = pool_of(&all, &evacuated, true);
+    let tried: Vec<id::BackendServerId> = vec!["s-2".parse().expect("a valid name")];
+    let want = placement::Want {
+        object: Some("x"),
+        allows: &|domain| domain.as_str() != "nausori",
+        tried: &tried,
+    };
+    assert_eq!(pool.begin(at_ms(0), &want), placement::Choice::Nobody);
+}
+
+#[test]
+fn a_cold_server_gets_requests_of_its_owner_only_and_at_a_pace() {
+    let mut cold = servers(1);
+    cold[0].cold_until = at_ms(10_000);
+    assert_eq!(begin(&mut pool_of(&cold, &[], false), 0, "x"), None);
+    let mut pool = pool_of(&cold, &[], true);
+    let mut begun = 0;
+    for ms in 0..1_000 {
+        if let Some(lease) = begin(&mut pool, ms, "x") {
+            pool.end(at_ms(ms), &lease, strain::Ending::Answered, None);
+            begun += 1;
+        }
+    }
+    assert!((3..=4).contains(&begun), "{begun} requests in a second");
+}
+
+#[test]
+fn a_server_whose_failure_domain_is_taken_back_counts_as_cold_for_a_while() {
+    let all = servers(1);
+    let evacuated: Vec<id::FailureDomainId> = vec!["lautoka".parse().expect("a valid name")];
+    let mut pool = pool_of(&all, &evacuated, false);
+    update(&mut pool, at_ms(1_000), &all, &[], false);
+    assert_eq!(begin(&mut pool, 1_000, "x"), None);
+    assert!(begin(&mut pool, 6_000, "x").is_some());
+}
+
+#[test]
+fn what_others_send_to_a_server_counts_for_a_while() {
+    let mut pool = pool_of(&servers(1), &[], false);
+    let lease = begin(&mut pool, 0, "x").expect("room");
+    let full = strain::Load { running: 2, waiting: 1, slots: 2 };
+    pool.end(at_ms(10), &lease, strain::Ending::Answered, Some(full));
+    assert_eq!(begin(&mut pool, 20, "x"), None);
+    assert!(begin(&mut pool, 1_000, "x").is_some());
+}
+
+#[test]
+fn a_server_that_fails_rests_and_is_then_tried_by_one_request() {
+    let mut pool = pool_of(&servers(1), &[], false);
+    let mut failed = 0;
+    while let Some(lease) = begin(&mut pool, failed, "x") {
+        pool.end(at_ms(failed), &lease, strain::Ending::Failed, None);
+        failed += 1;
+        assert!(failed < 10, "it is never left alone");
+    }
+    let trial = begin(&mut pool, 2_000, "x").expect("it is tried again");
+    assert_eq!(begin(&mut pool, 2_000, "x"), None);
+    pool.end(at_ms(2_100), &trial, strain::Ending::Answered, None);
+    assert!(begin(&mut pool, 2_100, "x").is_some() && begin(&mut pool, 2_100, "x").is_some());
+}
+
+#[test]
+fn another_start_under_the_same_name_is_another_server() {
+    let mut pool = pool_of(&servers(1), &[], false);
+    let lease = begin(&mut pool, 0, "x").expect("room");
+    let mut restarted = servers(1);
+    restarted[0].registered.started = id::Incarnation(2);
+    update(&mut pool, at_ms(10), &restarted, &[], false);
+    assert_eq!(pool.in_flight(), 0);
+    pool.end(at_ms(20), &lease, strain::Ending::Failed, None);
+    assert_eq!(begin(&mut pool, 20, "x").expect("room").started, id::Incarnation(2));
+}
--- a/crates/waxwing-route/src/route.rs
+++ b/crates/waxwing-route/src/route.rs
@@ -68,7 +68,8 @@
         let path = path.split('?').next().unwrap_or(path);
         path.match_indices('/').rev().find_map(|(at, _)| {
             let prefix = &path[..=at];
-            let found = self.routes.binary_search_by(|route| route.path_prefix.as_str().cmp(prefix));
+            let found =
+                self.routes.binary_search_by(|route| route.path_prefix.as_str().cmp(prefix));
             found.ok().map(|at| &self.routes[at])
         })
     }
--- a/crates/waxwing-units/src/ratio.rs
+++ b/crates/waxwing-units/src/ratio.rs
@@ -35,6 +35,10 @@
         }
         let whole: u64 = whole.parse().map_err(|_| bad())?;
         let milli: u64 = format!("{fraction:0<3}").parse().map_err(|_| bad())?;
-        whole.checked_mul(1_000).and_then(|whole| whole.checked_add(milli)).map(Self).ok_or_else(bad)
+        whole
+            .checked_mul(1_000)
+            .and_then(|whole| whole.checked_add(milli))
+            .map(Self)
+            .ok_or_else(bad)
     }
 }
--- a/crates/waxwing-vm/src/carry.rs
+++ b/crates/waxwing-vm/src/carry.rs
@@ -192,7 +192,10 @@
         Err(failure) => {
             log::info!(
                 "request {} at {}: {} while {}",
-                journey.arrival.request, lease.server, failure.fault, failure.state
+                journey.arrival.request,
+                lease.server,
+                failure.fault,
+                failure.state
             );
             slot.set_ending(failure.ending(), failure.load());
             failure.reading
--- a/crates/waxwing-vm/src/connections.rs
+++ b/crates/waxwing-vm/src/connections.rs
@@ -81,11 +81,8 @@
         &self,
         lease: &placement::Lease,
     ) -> Result<Connection, client_error::ClientError> {
-        let end = End {
-            address: lease.address,
-            server: lease.server.clone(),
-            started: lease.started,
-        };
+        let end =
+            End { address: lease.address, server: lease.server.clone(), started: lease.started };
         if let Some(kept) = self.take_kept(&end) {
             kept.state.set(attempt::State::Sending);
             return Ok(kept);
--- a/crates/waxwing-vm/src/contracts.rs
+++ b/crates/waxwing-vm/src/contracts.rs
@@ -4,6 +4,7 @@
 //! reachable machines for a loan and waits for their answers, shortly. A purse that runs low asks
 //! one machine ahead of need.
 
+use std::net;
 use std::sync;
 use std::time;
 
@@ -62,11 +63,13 @@
 }
 
 /// A question to other machines whose answers may still come.
-#[derive(Debug, Clone, Copy)]
+///
+/// Each machine answers once: a datagram that comes twice must not lend twice.
+#[derive(Debug, Clone)]
 struct Round {
     nonce: id::Nonce,
     asked_at: units_time::MonoInstant,
-    unanswered: usize,
+    unanswered: Vec<net::SocketAddr>,
 }
 
 /// The tokens of one organisation.
@@ -119,7 +122,12 @@
     }
 
     /// Takes in the limits of all organisations and the members of the fleet.
-    pub fn update(&self, table: &table::Table, membership: &membership::Membership, slack: rate::Tokens) {
+    pub fn update(
+        &self,
+        table: &table::Table,
+        membership: &membership::Membership,
+        slack: rate::Tokens,
+    ) {
         let now = clock::now();
         let holders = membership.holders(now);
         let until = membership.registration().map(|mine| mine.valid_until).unwrap_or_default();
@@ -153,9 +161,9 @@
     }
 
     /// Takes in a loan of another machine.
-    pub fn receive(&self, loan: &peer::Loan) {
+    pub fn receive(&self, from: net::SocketAddr, loan: &peer::Loan) {
         let now = clock::now();
-        self.with(&loan.organisation, |account| account.receive(now, loan));
+        self.with(&loan.organisation, |account| account.receive(now, from, loan));
     }
 }
 
@@ -196,26 +204,30 @@
         self.purse.set_part(now, part, until);
     }
 
-    fn receive(&mut self, now: units_time::MonoInstant, loan: &peer::Loan) {
+    fn receive(&mut self, now: units_time::MonoInstant, from: net::SocketAddr, loan: &peer::Loan) {
         let Some(round) = self.round.as_mut().filter(|round| round.nonce == loan.nonce) else {
-            log::debug!("a loan came too late");
+            log::debug!("a loan of {from} came too late");
             return;
         };
-        round.unanswered = round.unanswered.saturating_sub(1);
-        self.purse.receive(now, round.asked_at, loan.amount);
-        if round.unanswered == 0 && loan.amount.0 == 0 {
+        let Some(at) = round.unanswered.iter().position(|lender| *lender == from) else {
+            log::debug!("a loan of {from} came twice");
+            return;
+        };
+        round.unanswered.swap_remove(at);
+        let (asked_at, is_last) = (round.asked_at, round.unanswered.is_empty());
+        self.purse.receive(now, asked_at, loan.amount);
+        if is_last && loan.amount.0 == 0 {
             self.dry_until = now.after(DRY);
         }
-        if loan.amount.0 > 0 || round.unanswered == 0 {
+        if loan.amount.0 > 0 || is_last {
             self.answered.notify_waiters();
         }
     }
 
     /// Tells whether answers to the last question may still come.
     fn is_asking(&self, now: units_time::MonoInstant) -> bool {
-        self.round.is_some_and(|round| {
-            round.unanswered > 0 && now.since(round.asked_at) < LOAN_WAIT_MAX
-        })
+        self.round
+            .is_some_and(|round| round.unanswered > 0 && now.since(round.asked_at) < LOAN_WAIT_MAX)
     }
 
     /// Returns how much each other machine is asked for while a request waits.
@@ -279,16 +291,14 @@
     // An organisation without a limit has no account.
     let attempt = attempt.unwrap_or(Attempt::Charged);
     match ask {
-        Some((wanted, need)) if !send_asks(vm, organisation, wanted, need) => {
-            match attempt {
-                Attempt::Wait(_) => Attempt::Refused(
-                    vm.contracts
-                        .with(organisation, |account| account.refusal(now))
-                        .unwrap_or(Refused::NoShare { retry_after: NO_SHARE_RETRY }),
-                ),
-                other => other,
-            }
-        }
+        Some((wanted, need)) if !send_asks(vm, organisation, wanted, need) => match attempt {
+            Attempt::Wait(_) => Attempt::Refused(
+                vm.contracts
+                    .with(organisation, |account| account.refusal(now))
+                    .unwrap_or(Refused::NoShare { retry_after: NO_SHARE_RETRY }),
+            ),
+            other => other,
+        },
         _ => attempt,
     }
 }
@@ -318,7 +328,7 @@
     need: purse::Need,
 ) -> bool {
     let now = clock::now();
-    let mut lenders: Vec<std::net::SocketAddr> = {
+    let mut lenders: Vec<net::SocketAddr> = {
         let membership = vm.membership.lock();
         let live = membership.reachable(now, entry_vm::Phase::Live);
         live.into_iter().map(|about| about.peer_address).collect()
@@ -330,7 +340,7 @@
     if lenders.is_empty() {
         return false;
     }
-    let round = Round { nonce, asked_at: now, unanswered: lenders.len() };
+    let round = Round { nonce, asked_at: now, unanswered: lenders.clone() };
     vm.contracts.with(organisation, |account| account.round = Some(round));
     for lender in lenders {
         let ask = peer::LoanAsk { nonce, organisation: organisation.clone(), wanted, need };
--- a/crates/waxwing-vm/src/directory.rs
+++ b/crates/waxwing-vm/src/directory.rs
@@ -48,9 +48,10 @@
     if vm.is_ready() {
         usable.push(&vm.about);
     }
-    let region = question.region.as_ref().or_else(|| {
-        question.failure_domain.as_ref().and_then(|domain| settings.region_of(domain))
-    });
+    let region = question
+        .region
+        .as_ref()
+        .or_else(|| question.failure_domain.as_ref().and_then(|domain| settings.region_of(domain)));
     let in_domain = |about: &&&membership::About| {
         question.failure_domain.as_ref() == Some(&about.failure_domain)
     };
--- a/crates/waxwing-vm/src/exchange.rs
+++ b/crates/waxwing-vm/src/exchange.rs
@@ -69,9 +69,9 @@
             | attempt::Fault::Disconnected
             | attempt::Fault::DeadlinePassed
             | attempt::Fault::AnswerMalformed => strain::Ending::Failed,
-            attempt::Fault::NoSlot
-            | attempt::Fault::CallerGone
-            | attempt::Fault::UploadBroken => strain::Ending::Unjudged,
+            attempt::Fault::NoSlot | attempt::Fault::CallerGone | attempt::Fault::UploadBroken => {
+                strain::Ending::Unjudged
+            }
         }
     }
 
@@ -100,9 +100,8 @@
     let name = request.request.clone();
     let exchanging = send_and_read(&connection, front, &name, lease, request);
     let exchanged = ntex_time::timeout(timeout, exchanging).await;
-    let exchanged = exchanged.unwrap_or_else(|()| {
-        Err(failure(connection.state(), attempt::Fault::DeadlinePassed))
-    });
+    let exchanged = exchanged
+        .unwrap_or_else(|()| Err(failure(connection.state(), attempt::Fault::DeadlinePassed)));
     let reading = match &exchanged {
         Ok(answer) => Some(answer.reading),
         Err(failure) => failure.reading,
--- a/crates/waxwing-vm/src/front.rs
+++ b/crates/waxwing-vm/src/front.rs
@@ -91,12 +91,8 @@
     fn passed_on(&self, headers: &header::HeaderMap, passing: &Passing<'_>) -> Vec<Header>;
 
     /// Reads what the head of an answer to `request` says.
-    fn read(
-        &self,
-        request: &str,
-        status: http::StatusCode,
-        headers: &header::HeaderMap,
-    ) -> Reading;
+    fn read(&self, request: &str, status: http::StatusCode, headers: &header::HeaderMap)
+    -> Reading;
 
     /// Returns the headers of an answer that the caller gets to see.
     fn answered(&self, headers: &header::HeaderMap) -> Vec<Header>;
--- a/crates/waxwing-vm/src/journey.rs
+++ b/crates/waxwing-vm/src/journey.rs
@@ -122,7 +122,8 @@
         charged.map_err(refusal::Refusal::NotCharged)?;
     }
     let terms = organisation.as_ref().and_then(|organisation| table.organisation(organisation));
-    let allowed_regions = allowed_regions(&route, terms.map(|terms| terms.allowed_regions.as_slice()));
+    let allowed_regions =
+        allowed_regions(&route, terms.map(|terms| terms.allowed_regions.as_slice()));
     let service = vm.pools.next_service(&route).ok_or(refusal::Refusal::NoServer)?;
     let method = request.method().clone();
     Ok(Journey { arrival, method, route, service, organisation, allowed_regions, deadline, body })
--- a/crates/waxwing-vm/src/run.rs
+++ b/crates/waxwing-vm/src/run.rs
@@ -70,10 +70,7 @@
 }
 
 /// Reads the settings again as often as the process is told to, until it is told to end.
-async fn obey(
-    vm: &vm::Shared,
-    reload: impl Fn() -> Option<settings::Checked>,
-) -> eyre::Result<()> {
+async fn obey(vm: &vm::Shared, reload: impl Fn() -> Option<settings::Checked>) -> eyre::Result<()> {
     let mut orders = signal::orders()?;
     while let Some(signal::Order::Reload) = orders.recv().await {
         if let Some(settings) = reload() {
@@ -130,9 +127,8 @@
             .state(kept)
             .default_service(web::route().to(carry::carry))
     });
-    let http = http::HttpServiceConfig::new()
-        .set_keepalive_timeout(IDLE_MAX)
-        .set_client_timeout(HEAD_MAX);
+    let http =
+        http::HttpServiceConfig::new().set_keepalive_timeout(IDLE_MAX).set_client_timeout(HEAD_MAX);
     let address = vm.settings().entry_address;
     let server = server
         .workers(vm.settings().settings.workers)
--- a/crates/waxwing-vm/src/settings.rs
+++ b/crates/waxwing-vm/src/settings.rs
@@ -139,9 +139,10 @@
         faults.require(self.store_address.is_some(), "store_address", address);
         let workers = "must be between 1 and 64";
         faults.require((1..=64).contains(&self.workers), "workers", workers);
-        let names_own = self.failure_domain.as_ref().is_none_or(|own| {
-            self.places.iter().any(|place| place.failure_domain == *own)
-        });
+        let names_own = self
+            .failure_domain
+            .as_ref()
+            .is_none_or(|own| self.places.iter().any(|place| place.failure_domain == *own));
         faults.require(names_own, "places", "must name the region of this failure domain");
     }
 }
--- a/crates/waxwing-vm/src/vm.rs
+++ b/crates/waxwing-vm/src/vm.rs
@@ -142,7 +142,8 @@
 
     /// Tells whether keys may be taken now.
     pub fn allows_keys(&self) -> bool {
-        let withdrawal_max = self.settings().settings.withdrawal_max.map(units_time::Millis::duration);
+        let withdrawal_max =
+            self.settings().settings.withdrawal_max.map(units_time::Millis::duration);
         let fence = freshness::Fence { withdrawal_max, margin: KEY_MARGIN };
         let confirmed_at = self.in_force.lock().confirmed_at;
         fence.allows_keys(clock::now(), confirmed_at)
