--- a/crates/waxwing-machine/src/membership.rs
+++ b/crates/waxwing-machine/src/membership.rs
@@ -164,8 +164,7 @@
 
     fn is_known_to_all(&self, created: id::Revision) -> bool {
         // A reading from before this registration does not name those that came in between.
-        let is_me =
-            |member: &Member| member.about.vm == self.me && member.created == created;
+        let is_me = |member: &Member| member.about.vm == self.me && member.created == created;
         self.reading.members.iter().any(is_me)
             && self
                 .reading
--- a/crates/waxwing-machine/tests/machine/membership.rs
+++ b/crates/waxwing-machine/tests/machine/membership.rs
@@ -23,11 +23,7 @@
 }
 
 fn member(name: &str, created: u64) -> membership::Member {
-    membership::Member {
-        about: about(name),
-        created: id::Revision(created),
-        is_admitted: false,
-    }
+    membership::Member { about: about(name), created: id::Revision(created), is_admitted: false }
 }
 
 fn reading(revision: u64, members: &[(&str, u64)]) -> membership::Reading {
@@ -101,10 +97,8 @@
 #[test]
 fn others_tell_whether_the_store_was_there_while_this_machine_was_cut_off() {
     let mut fleet = fleet("a");
-    let steady = |ms| membership::Heartbeat {
-        store_steady_ms: units_time::Millis(ms),
-        ..heartbeat("b", 1)
-    };
+    let steady =
+        |ms| membership::Heartbeat { store_steady_ms: units_time::Millis(ms), ..heartbeat("b", 1) };
     fleet.hear(at_ms(9_000), steady(500));
     assert!(!fleet.was_store_there(at_ms(9_000), at_ms(8_000)));
     fleet.hear(at_ms(9_000), steady(5_000));
--- a/crates/waxwing-machine/tests/machine/placement.rs
+++ b/crates/waxwing-machine/tests/machine/placement.rs
@@ -31,7 +31,11 @@
 
 const OPTIONS: placement::Options = placement::Options { homes: 2, queued_max: 1 };
 
-fn pool_of(known: &[roster::Known], evacuated: &[id::FailureDomainId], is_owner: bool) -> placement::Pool {
+fn pool_of(
+    known: &[roster::Known],
+    evacuated: &[id::FailureDomainId],
+    is_owner: bool,
+) -> placement::Pool {
     let mut pool = placement::Pool::new(OPTIONS);
     update(&mut pool, at_ms(0), known, evacuated, is_owner);
     pool
--- a/crates/waxwing-request/tests/request/main.rs
+++ b/crates/waxwing-request/tests/request/main.rs
@@ -1,5 +1,6 @@
 //! The decisions about one request, object by object.
 
 mod attempt;
+mod budget;
 mod queue;
 mod retry;
--- /dev/null
+++ b/crates/waxwing-route/tests/route/main.rs
@@ -0,0 +1,5 @@
+//! Decisions about routes, object by object.
+
+mod freshness;
+mod split;
+mod table;
--- a/crates/waxwing-vm/src/contracts.rs
+++ b/crates/waxwing-vm/src/contracts.rs
@@ -226,8 +226,9 @@
 
     /// Tells whether answers to the last question may still come.
     fn is_asking(&self, now: units_time::MonoInstant) -> bool {
-        self.round
-            .is_some_and(|round| round.unanswered > 0 && now.since(round.asked_at) < LOAN_WAIT_MAX)
+        self.round.as_ref().is_some_and(|round| {
+            !round.unanswered.is_empty() && now.since(round.asked_at) < LOAN_WAIT_MAX
+        })
     }
 
     /// Returns how much each other machine is asked for while a request waits.
