--- a/crates/waxwing-machine/src/placement.rs
+++ b/crates/waxwing-machine/src/placement.rs
@@ -1,8 +1,10 @@
 //! The choice among all backend servers of a service, by object.
 //!
 //! A server that handled an object lately is quicker at it, so each object has its homes: the
-//! servers in the order of a rendezvous that is the same on all machines. A request goes to the
-//! least strained of its first homes, and further down the order where these have no room.
+//! first usable servers in the order of a rendezvous that is the same on all machines. A request
+//! goes to the first home with a free slot, or else waits at the least strained one. It never goes
+//! beyond its homes, however high the load: a server that handles everything is quick at nothing,
+//! and a system that spilled over once would stay slow.
 //!
 //! A cold server bears few requests a second from all machines together, so only the machine that
 //! owns it sends to it, at a pace. The same goes for a server of which nobody knows whether it is
@@ -27,18 +29,25 @@
 /// The part of the pace of a cold server that is used, in thousandths.
 const COLD_PACE_PERMILLE: u64 = 800;
 
+/// All slots of a server, in thousandths.
+const FULL_PERMILLE: u32 = 1_000;
+
 /// How requests are placed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Options {
-    /// The first homes of an object, among which the least strained is taken.
+    /// The homes of an object.
     pub homes: usize,
     /// Requests that may wait at a server beyond its slots.
     pub queued_max: u32,
+    /// Requests that wait at the first home of an object before another home is taken.
+    pub first_queued: i64,
+    /// How much more likely a server of the near region is a home than one further away.
+    pub near_weight: u32,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Self { homes: 2, queued_max: 3 }
+        Self { homes: 1, queued_max: 4, first_queued: 1, near_weight: 1 }
     }
 }
 
@@ -49,6 +58,8 @@
     pub object: Option<&'a str>,
     /// Whether a failure domain may run the request.
     pub allows: &'a dyn Fn(&id::FailureDomainId) -> bool,
+    /// Whether a failure domain is in the region that the request came to.
+    pub is_near: &'a dyn Fn(&id::FailureDomainId) -> bool,
     /// Servers that the request was sent to already.
     pub tried: &'a [id::BackendServerId],
 }
@@ -83,6 +94,8 @@
     pub owns: &'a dyn Fn(&id::BackendServerId) -> bool,
     /// Requests a second that a cold server bears.
     pub cold_rate_per_second: rate::TokenRate,
+    /// How requests are placed.
+    pub options: Options,
 }
 
 /// One server and its strain.
@@ -97,7 +110,7 @@
 }
 
 /// The servers of one service, sorted by name.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct Pool {
     options: Options,
     places: Vec<Place>,
@@ -105,11 +118,6 @@
 }
 
 impl Pool {
-    /// Creates a pool without servers.
-    pub const fn new(options: Options) -> Self {
-        Self { options, places: Vec::new(), cold_interval: time::Duration::from_secs(1) }
-    }
-
     /// Takes in which servers there are; `known` holds those of this service, sorted by name.
     pub fn update(
         &mut self,
@@ -117,6 +125,7 @@
         known: &[&roster::Known],
         around: &Surroundings<'_>,
     ) {
+        self.options = around.options;
         self.cold_interval = cold_interval(around.cold_rate_per_second);
         let before = std::mem::take(&mut self.places);
         self.places = known
@@ -139,10 +148,16 @@
         if order.is_empty() {
             return Choice::Nobody;
         }
+        let homes: Vec<usize> = order
+            .into_iter()
+            .filter(|at| self.places[*at].is_usable(now))
+            .take(self.options.homes.max(1))
+            .collect();
+        let load = |at: &&usize| self.places[**at].strain_permille(now);
+        let first = homes.first().filter(|at| self.places[**at].queue(now) < self.options.first_queued);
+        let free = first.or_else(|| homes.iter().find(|at| load(at) < FULL_PERMILLE));
         let has_room = |at: &&usize| self.places[**at].has_room(now, self.options);
-        let homes = order.iter().take(self.options.homes).filter(has_room);
-        let strain = |at: &&usize| self.places[**at].strain_permille(now);
-        let chosen = homes.min_by_key(strain).or_else(|| order.iter().find(has_room)).copied();
+        let chosen = free.or_else(|| homes.iter().filter(has_room).min_by_key(load)).copied();
         chosen.map_or(Choice::Full, |at| {
             let interval = self.cold_interval;
             Choice::Server(self.places[at].begin(now, interval))
@@ -151,12 +166,13 @@
 
     /// Returns the servers that may run a request, the object's homes first.
     fn order(&self, want: &Want<'_>) -> Vec<usize> {
+        let options = self.options;
         let mut order: Vec<(u64, usize)> = self
             .places
             .iter()
             .enumerate()
             .filter(|(_, place)| place.may_run(want))
-            .map(|(at, place)| (place.weight(want), at))
+            .map(|(at, place)| (place.weight(want, options), at))
             .collect();
         order.sort_unstable_by(|a, b| b.cmp(a));
         order.into_iter().map(|(_, at)| at).collect()
@@ -242,11 +258,16 @@
     }
 
     /// Returns the server's weight for a request; the highest comes first.
-    fn weight(&self, want: &Want<'_>) -> u64 {
-        let server = self.known.registered.server.as_str();
+    fn weight(&self, want: &Want<'_>, options: Options) -> u64 {
+        let registered = &self.known.registered;
+        let is_near = (want.is_near)(&registered.failure_domain);
+        let near = if is_near { options.near_weight.max(1) } else { 1 };
         match want.object {
-            Some(object) => rendezvous::weight(object, server),
-            None => u64::from(u32::MAX - self.strain.in_flight()),
+            Some(object) => {
+                let share = registered.slots.max(1) * near;
+                rendezvous::weighted(object, registered.server.as_str(), share)
+            }
+            None => u64::from(near) * u64::from(u32::MAX - self.strain.in_flight()),
         }
     }
 
@@ -254,16 +275,24 @@
         now < self.known.cold_until || now < self.unknown_until
     }
 
-    fn has_room(&self, now: units_time::MonoInstant, options: Options) -> bool {
+    /// Tells whether the server may be sent anything at all now.
+    fn is_usable(&self, now: units_time::MonoInstant) -> bool {
         if self.strain.rests(now) || (self.strain.is_on_trial() && self.strain.in_flight() > 0) {
             return false;
         }
-        if self.is_cold(now) {
-            return self.is_owned && now >= self.cold_next_at;
-        }
+        !self.is_cold(now) || (self.is_owned && now >= self.cold_next_at)
+    }
+
+    /// Tells whether one more request may wait at the server.
+    fn has_room(&self, now: units_time::MonoInstant, options: Options) -> bool {
         self.strain.load(now) < self.known.registered.slots + options.queued_max
     }
 
+    /// Returns how many requests wait at the server, beyond the free slots.
+    fn queue(&self, now: units_time::MonoInstant) -> i64 {
+        i64::from(self.strain.load(now)) - i64::from(self.known.registered.slots) + 1
+    }
+
     /// Returns how full the server is, in thousandths of its slots.
     fn strain_permille(&self, now: units_time::MonoInstant) -> u32 {
         self.strain.load(now) * 1_000 / self.known.registered.slots.max(1)
--- a/crates/waxwing-machine/tests/machine/placement.rs
+++ b/crates/waxwing-machine/tests/machine/placement.rs
@@ -29,14 +29,14 @@
     roster::Known { registered, cold_until: at_ms(0) }
 }
 
-const OPTIONS: placement::Options = placement::Options { homes: 2, queued_max: 1 };
+const OPTIONS: placement::Options = placement::Options { homes: 2, queued_max: 1, near_weight: 1 };
 
 fn pool_of(
     known: &[roster::Known],
     evacuated: &[id::FailureDomainId],
     is_owner: bool,
 ) -> placement::Pool {
-    let mut pool = placement::Pool::new(OPTIONS);
+    let mut pool = placement::Pool::default();
     update(&mut pool, at_ms(0), known, evacuated, is_owner);
     pool
 }
@@ -54,12 +54,13 @@
         evacuated,
         owns: &owns,
         cold_rate_per_second: rate::TokenRate::per_second(4),
+        options: OPTIONS,
     };
     pool.update(now, &known, &around);
 }
 
 fn want<'a>(object: &'a str, tried: &'a [id::BackendServerId]) -> placement::Want<'a> {
-    placement::Want { object: Some(object), allows: &|_| true, tried }
+    placement::Want { object: Some(object), allows: &|_| true, is_near: &|_| false, tried }
 }
 
 fn begin(pool: &mut placement::Pool, ms: u64, object: &str) -> Option<placement::Lease> {
@@ -122,6 +123,7 @@
     let want = placement::Want {
         object: Some("x"),
         allows: &|domain| domain.as_str() != "nausori",
+        is_near: &|_| false,
         tried: &tried,
     };
     assert_eq!(pool.begin(at_ms(0), &want), placement::Choice::Nobody);
--- a/crates/waxwing-vm/src/carry.rs
+++ b/crates/waxwing-vm/src/carry.rs
@@ -138,9 +138,17 @@
     journey: &journey::Journey,
     tried: &mut Tried,
 ) -> refusal::Result<pools::Slot> {
-    let allows = |domain: &id::FailureDomainId| journey.allows(vm.settings().region_of(domain));
-    let object = journey.arrival.object.as_deref().filter(|_| journey.route.has_affinity);
-    let want = placement::Want { object, allows: &allows, tried: &tried.servers };
+    let settings = vm.settings();
+    let here = settings.region_of(&settings.failure_domain);
+    let allows = |domain: &id::FailureDomainId| journey.allows(settings.region_of(domain));
+    let is_near = |domain: &id::FailureDomainId| settings.region_of(domain) == here;
+    let object = journey.object();
+    let want = placement::Want {
+        object: object.as_deref(),
+        allows: &allows,
+        is_near: &is_near,
+        tried: &tried.servers,
+    };
     let fault = match journey.left() > SENT_LEFT_MIN {
         true => match vm.pools.acquire(vm, &journey.service, &want) {
             pools::Acquired::Slot(slot) => return Ok(slot),
--- a/crates/waxwing-vm/src/follow.rs
+++ b/crates/waxwing-vm/src/follow.rs
@@ -169,6 +169,7 @@
         live.into_iter().map(|about| about.vm.clone()).chain([vm.about.vm.clone()]).collect()
     };
     let owns = |server: &id::BackendServerId| owner(server, &live) == Some(&vm.about.vm);
+    let options = vm.settings().placement();
     let roster = servers.lock();
     for service in table.services() {
         let known: Vec<&roster::Known> = roster
@@ -180,6 +181,7 @@
             evacuated: &in_force.evacuated,
             owns: &owns,
             cold_rate_per_second: service.cold_rate_per_second,
+            options,
         };
         vm.pools.update(&service.service, &known, &around);
     }
--- a/crates/waxwing-vm/src/journey.rs
+++ b/crates/waxwing-vm/src/journey.rs
@@ -47,6 +47,13 @@
         self.deadline.since(clock::now())
     }
 
+    /// Returns the object that the request is about, told apart from those of other routes; none
+    /// where all servers are as quick.
+    pub fn object(&self) -> Option<String> {
+        let object = self.arrival.object.as_ref().filter(|_| self.route.has_affinity)?;
+        Some(format!("{}{object}", self.route.path_prefix))
+    }
+
     /// Tells whether the request may run in a region.
     pub fn allows(&self, region: Option<&id::RegionId>) -> bool {
         match (&self.allowed_regions, region) {
--- a/crates/waxwing-vm/src/pools.rs
+++ b/crates/waxwing-vm/src/pools.rs
@@ -197,7 +197,6 @@
 
 impl ServicePool {
     fn empty(service: id::ServiceId) -> Self {
-        let pool = placement::Pool::new(placement::Options::default());
-        Self { service, pool, repeats: budget::Budget::default() }
+        Self { service, pool: placement::Pool::default(), repeats: budget::Budget::default() }
     }
 }
--- a/crates/waxwing-vm/src/settings.rs
+++ b/crates/waxwing-vm/src/settings.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde_with::DisplayFromStr;
 use serde_with::serde_as;
+use waxwing_machine::placement;
 use waxwing_process::settings;
 use waxwing_units::id;
 use waxwing_units::rate;
@@ -66,6 +67,15 @@
     /// How long a registration lasts without being renewed.
     #[serde_as(as = "DisplayFromStr")]
     pub registration_lease: units_time::Millis,
+    /// The backend servers among which the requests about one object are shared out.
+    pub homes: usize,
+    /// Requests that may wait at a backend server beyond its slots.
+    pub queued_max: u32,
+    /// Requests that wait at the first home of an object before another home is taken.
+    pub first_queued: i64,
+    /// How much more likely a backend server of the own region is a home of an object than one
+    /// further away.
+    pub near_weight: u32,
     /// The share of requests to a service that are sent again, over all machines.
     #[serde_as(as = "DisplayFromStr")]
     pub repeats_ratio: ratio::Permille,
@@ -95,6 +105,10 @@
             end_max: units_time::Millis(6_000),
             answer_validity: units_time::Millis(1_000),
             registration_lease: units_time::Millis(10_000),
+            homes: 1,
+            queued_max: 4,
+            first_queued: 1,
+            near_weight: 1,
             repeats_ratio: ratio::Permille(100),
             repeats_slack: 20,
             contract_slack: rate::Tokens(0),
@@ -139,6 +153,7 @@
         faults.require(self.store_address.is_some(), "store_address", address);
         let workers = "must be between 1 and 64";
         faults.require((1..=64).contains(&self.workers), "workers", workers);
+        faults.require(self.homes > 0, "homes", "must be at least 1");
         let names_own = self
             .failure_domain
             .as_ref()
@@ -164,6 +179,16 @@
 }
 
 impl Checked {
+    /// Returns how requests are placed.
+    pub const fn placement(&self) -> placement::Options {
+        placement::Options {
+            homes: self.settings.homes,
+            queued_max: self.settings.queued_max,
+            first_queued: self.settings.first_queued,
+            near_weight: self.settings.near_weight,
+        }
+    }
+
     /// Tells whether a process with these settings can go on with `other` without a restart.
     pub fn allows_change_to(&self, other: &Self) -> bool {
         let fixed = |of: &Self| {
