perf(machine): two homes of an object, the second for what the first has no room for

Cause: with one home, a server that rests or is full refuses all requests about its objects; with three, too many objects are cold everywhere.

--- a/crates/waxwing-machine/src/placement.rs
+++ b/crates/waxwing-machine/src/placement.rs
@@ -2,9 +2,9 @@
 //!
 //! A server that handled an object lately is quicker at it, so each object has its homes: the
 //! first usable servers in the order of a rendezvous that is the same on all machines. A request
-//! goes to the first home with a free slot, or else waits at the least strained one. It never goes
-//! beyond its homes, however high the load: a server that handles everything is quick at nothing,
-//! and a system that spilled over once would stay slow.
+//! goes to its first home as long as few wait there, or else to another home. It never goes beyond
+//! its homes, however high the load: a server that handles everything is quick at nothing, and a
+//! system that spilled over once would stay slow.
 //!
 //! A cold server bears few requests a second from all machines together, so only the machine that
 //! owns it sends to it, at a pace. The same goes for a server of which nobody knows whether it is
@@ -37,17 +37,15 @@
 pub struct Options {
     /// The homes of an object.
     pub homes: usize,
-    /// Requests that may wait at a server beyond its slots.
-    pub queued_max: u32,
-    /// Requests that wait at the first home of an object before another home is taken.
-    pub first_queued: i64,
+    /// Requests that may wait at a server for each of its slots.
+    pub queued_per_slot_max: u32,
     /// How much more likely a server of the near region is a home than one further away.
     pub near_weight: u32,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Self { homes: 1, queued_max: 4, first_queued: 1, near_weight: 1 }
+        Self { homes: 2, queued_per_slot_max: 1, near_weight: 2 }
     }
 }
 
@@ -154,10 +152,15 @@
             .take(self.options.homes.max(1))
             .collect();
         let load = |at: &&usize| self.places[**at].strain_permille(now);
-        let first = homes.first().filter(|at| self.places[**at].queue(now) < self.options.first_queued);
-        let free = first.or_else(|| homes.iter().find(|at| load(at) < FULL_PERMILLE));
-        let has_room = |at: &&usize| self.places[**at].has_room(now, self.options);
-        let chosen = free.or_else(|| homes.iter().filter(has_room).min_by_key(load)).copied();
+        let has_room =
+            |at: &&usize| load(at) < FULL_PERMILLE * (1 + self.options.queued_per_slot_max);
+        let has_free_slot = |at: &&usize| load(at) < FULL_PERMILLE;
+        let chosen = homes
+            .first()
+            .filter(has_room)
+            .or_else(|| homes.iter().find(has_free_slot))
+            .or_else(|| homes.iter().find(has_room))
+            .copied();
         chosen.map_or(Choice::Full, |at| {
             let interval = self.cold_interval;
             Choice::Server(self.places[at].begin(now, interval))
@@ -283,16 +286,6 @@
         !self.is_cold(now) || (self.is_owned && now >= self.cold_next_at)
     }
 
-    /// Tells whether one more request may wait at the server.
-    fn has_room(&self, now: units_time::MonoInstant, options: Options) -> bool {
-        self.strain.load(now) < self.known.registered.slots + options.queued_max
-    }
-
-    /// Returns how many requests wait at the server, beyond the free slots.
-    fn queue(&self, now: units_time::MonoInstant) -> i64 {
-        i64::from(self.strain.load(now)) - i64::from(self.known.registered.slots) + 1
-    }
-
     /// Returns how full the server is, in thousandths of its slots.
     fn strain_permille(&self, now: units_time::MonoInstant) -> u32 {
         self.strain.load(now) * 1_000 / self.known.registered.slots.max(1)
--- a/crates/waxwing-vm/src/settings.rs
+++ b/crates/waxwing-vm/src/settings.rs
@@ -69,10 +69,8 @@
     pub registration_lease: units_time::Millis,
     /// The backend servers among which the requests about one object are shared out.
     pub homes: usize,
-    /// Requests that may wait at a backend server beyond its slots.
-    pub queued_max: u32,
-    /// Requests that wait at the first home of an object before another home is taken.
-    pub first_queued: i64,
+    /// Requests that may wait at a backend server for each of its slots.
+    pub queued_per_slot_max: u32,
     /// How much more likely a backend server of the own region is a home of an object than one
     /// further away.
     pub near_weight: u32,
@@ -105,10 +103,9 @@
             end_max: units_time::Millis(6_000),
             answer_validity: units_time::Millis(1_000),
             registration_lease: units_time::Millis(10_000),
-            homes: 1,
-            queued_max: 4,
-            first_queued: 1,
-            near_weight: 1,
+            homes: 2,
+            queued_per_slot_max: 1,
+            near_weight: 2,
             repeats_ratio: ratio::Permille(100),
             repeats_slack: 20,
             contract_slack: rate::Tokens(0),
@@ -183,8 +180,7 @@
     pub const fn placement(&self) -> placement::Options {
         placement::Options {
             homes: self.settings.homes,
-            queued_max: self.settings.queued_max,
-            first_queued: self.settings.first_queued,
+            queued_per_slot_max: self.settings.queued_per_slot_max,
             near_weight: self.settings.near_weight,
         }
     }
