fix: timers that go off in time after a machine stood still

Ruled out: the store (it answered at once), a lost call (it was answered), locks (other threads of the process went on).

--- a/crates/waxwing-entry/src/journey.rs
+++ b/crates/waxwing-entry/src/journey.rs
@@ -5,10 +5,10 @@
 
 use ntex::http;
 use ntex::http::header;
-use ntex::time as ntex_time;
 use ntex::web;
 use waxwing_keeper_client::client as keeper_client;
 use waxwing_process::clock;
+use waxwing_process::timer;
 use waxwing_record::record;
 use waxwing_request::attempt;
 use waxwing_timeline::event;
@@ -204,9 +204,9 @@
     let wait = journey.left().min(entry.settings.charge_wait.duration());
     let wait_ms = units_time::Millis(u64::try_from(wait.as_millis()).unwrap_or(u64::MAX));
     let charging = entry.keeper.charge(organisation, journey.request.clone(), wait_ms);
-    match ntex_time::timeout(wait + KEEPER_MARGIN, charging).await {
+    match timer::timeout(wait + KEEPER_MARGIN, charging).await {
         Ok(charged) => charged?,
-        Err(()) => return Err(refusal::Refusal::ContractUnreachable),
+        Err(timer::Elapsed) => return Err(refusal::Refusal::ContractUnreachable),
     }
     // The key may have been withdrawn while the request waited.
     let owner = owner(entry, &journey.service, journey.key.as_deref())?;
--- a/crates/waxwing-entry/src/main.rs
+++ b/crates/waxwing-entry/src/main.rs
@@ -22,6 +22,7 @@
 use waxwing_process::metrics;
 use waxwing_process::reporter;
 use waxwing_process::signal;
+use waxwing_process::timer;
 use waxwing_timeline::event;
 
 /// How often the process looks whether all requests have ended.
@@ -131,16 +132,16 @@
 async fn stop(entry: &entry::Shared, server: &ntex::server::Server) {
     entry.reporter.report(event::What::Stopping);
     entry.is_stopping.store(true, atomic::Ordering::Release);
-    ntex_time::sleep(entry.settings.linger.duration()).await;
+    timer::sleep(entry.settings.linger.duration()).await;
     entry.is_closed.store(true, atomic::Ordering::Release);
     let closed_at = clock::now();
     let finish_max = entry.settings.finish_max.duration();
     while entry.under_way.load(atomic::Ordering::Acquire) > 0
         && clock::now().since(closed_at) < finish_max
     {
-        ntex_time::sleep(FINISH_INTERVAL).await;
+        timer::sleep(FINISH_INTERVAL).await;
     }
     // The last bytes of the last answer leave before the process does.
-    ntex_time::sleep(FINISH_INTERVAL).await;
+    timer::sleep(FINISH_INTERVAL).await;
     server.stop(true).await;
 }
--- a/crates/waxwing-entry/src/probe.rs
+++ b/crates/waxwing-entry/src/probe.rs
@@ -7,6 +7,7 @@
 use ntex::time as ntex_time;
 use waxwing_machine::backend_server;
 use waxwing_machine::fleet;
+use waxwing_process::timer;
 use waxwing_record::record;
 
 use crate::entry;
@@ -35,7 +36,7 @@
         let (in_flight, free_slots) = entry.pools.load();
         let shares = entry.places.shares();
         entry.keeper.tell_load(fleet::Load { in_flight, free_slots, shares });
-        ntex_time::sleep(PROBE_INTERVAL).await;
+        timer::sleep(PROBE_INTERVAL).await;
     }
 }
 
@@ -52,7 +53,7 @@
 /// Hands out slots that came free by the passing of time; never returns.
 pub async fn hand_out(entry: sync::Arc<entry::Entry>) {
     loop {
-        ntex_time::sleep(HAND_OUT_INTERVAL).await;
+        timer::sleep(HAND_OUT_INTERVAL).await;
         entry.pools.hand_out();
     }
 }
--- a/crates/waxwing-entry/src/source.rs
+++ b/crates/waxwing-entry/src/source.rs
@@ -3,9 +3,9 @@
 use futures_util::StreamExt;
 use ntex::http;
 use ntex::http::header;
-use ntex::time as ntex_time;
 use ntex::util as ntex_util;
 use ntex::web;
+use waxwing_process::timer;
 use waxwing_request::outcome;
 
 use crate::journey;
@@ -34,7 +34,7 @@
         None if !has_body => Ok(Source::Kept(ntex_util::Bytes::new())),
         Some(len_bytes) if len_bytes <= KEPT_BODY_MAX_BYTES => {
             let reading = read_all(payload, len_bytes);
-            let read = ntex_time::timeout(journey.left(), reading).await;
+            let read = timer::timeout(journey.left(), reading).await;
             let outcome = outcome::Outcome::NotRun;
             read.unwrap_or(Err(refusal::Refusal::UploadBroken { outcome })).map(Source::Kept)
         }
--- a/crates/waxwing-entry/src/target.rs
+++ b/crates/waxwing-entry/src/target.rs
@@ -2,9 +2,9 @@
 
 use std::net;
 
-use ntex::time as ntex_time;
 use waxwing_machine::backend_server;
 use waxwing_machine::entry_vm;
+use waxwing_process::timer;
 use waxwing_request::attempt;
 use waxwing_request::outcome;
 use waxwing_units::id;
@@ -105,7 +105,7 @@
         pools::Acquired::QueueFull if tried.is_empty() => Err(refusal::Refusal::QueueFull),
         pools::Acquired::QueueFull => Err(no_slot(journey, history)),
         pools::Acquired::Waits(mut waiting) => {
-            let waited = ntex_time::timeout(journey.left(), waiting.slot()).await;
+            let waited = timer::timeout(journey.left(), waiting.slot()).await;
             waited.ok().flatten().ok_or_else(|| no_slot(journey, history))
         }
     }
--- a/crates/waxwing-entry/src/upstream.rs
+++ b/crates/waxwing-entry/src/upstream.rs
@@ -15,8 +15,8 @@
 use ntex::http::body;
 use ntex::http::header;
 use ntex::service;
-use ntex::time as ntex_time;
 use ntex::util as ntex_util;
+use waxwing_process::timer;
 use waxwing_request::attempt;
 
 use crate::headers;
@@ -75,11 +75,11 @@
         Body::Streamed(_, broken) => Some(broken.clone()),
     };
     let sending = send_on_new_connection(address, request, state.clone());
-    let sent = ntex_time::timeout(timeout, sending).await;
+    let sent = timer::timeout(timeout, sending).await;
     let fault = match sent {
         Ok(Ok(response)) => return declared(response),
         Ok(Err(error)) => fault_of(&error, state.get()),
-        Err(()) => attempt::Fault::DeadlinePassed,
+        Err(timer::Elapsed) => attempt::Fault::DeadlinePassed,
     };
     let broken = broken.and_then(|broken| broken.get());
     let fault = if broken.is_some() { attempt::Fault::UploadBroken } else { fault };
@@ -144,8 +144,8 @@
     let connect = connect::Connector::<http::Uri>::new();
     let noting = service::apply_fn_factory(connect, async move |to, connector| {
         let connecting = connector.call(to);
-        let connected = ntex_time::timeout(CONNECT_TIMEOUT, connecting).await;
-        let io = connected.map_err(|()| timed_out())??;
+        let connected = timer::timeout(CONNECT_TIMEOUT, connecting).await;
+        let io = connected.map_err(|timer::Elapsed| timed_out())??;
         state.set(attempt::State::Sending);
         Ok::<_, connect::ConnectError>(io)
     });
--- a/crates/waxwing-keeper/src/main.rs
+++ b/crates/waxwing-keeper/src/main.rs
@@ -8,7 +8,6 @@
 
 use eyre::OptionExt;
 use eyre::WrapErr;
-use ntex::time as ntex_time;
 use waxwing_keeper::connections;
 use waxwing_keeper::copies;
 use waxwing_keeper::heartbeats;
@@ -24,6 +23,7 @@
 use waxwing_process::clock;
 use waxwing_process::metrics;
 use waxwing_process::signal;
+use waxwing_process::timer as process_timer;
 use waxwing_timeline::event;
 use waxwing_units::id;
 
@@ -165,6 +165,6 @@
     platform::give_up_seats(keeper, &platform).await;
     let began_at = clock::now();
     while keeper.connections.count() > 0 && clock::now().since(began_at) < LEAVE_MAX {
-        ntex_time::sleep(LEAVE_INTERVAL).await;
+        process_timer::sleep(LEAVE_INTERVAL).await;
     }
 }
--- a/crates/waxwing-keeper/src/platform.rs
+++ b/crates/waxwing-keeper/src/platform.rs
@@ -3,7 +3,6 @@
 use std::sync::atomic;
 use std::time;
 
-use ntex::time as ntex_time;
 use waxwing_contract::options;
 use waxwing_contract::seat;
 use waxwing_machine::entry_vm;
@@ -13,6 +12,7 @@
 use waxwing_platform::store::Store;
 use waxwing_platform::vm_list::VmList;
 use waxwing_process::clock;
+use waxwing_process::timer;
 use waxwing_record::record;
 use waxwing_timeline::event;
 use waxwing_units::id;
@@ -44,7 +44,7 @@
     let mut first = true;
     loop {
         if !first && !is_watcher(keeper) {
-            ntex_time::sleep(DUTY_INTERVAL).await;
+            timer::sleep(DUTY_INTERVAL).await;
             continue;
         }
         match read_and_wait(keeper, platform).await {
@@ -52,7 +52,7 @@
             Err(error) => {
                 note_store(keeper, false);
                 log::debug!("the store could not be watched: {error}");
-                ntex_time::sleep(RETRY_INTERVAL).await;
+                timer::sleep(RETRY_INTERVAL).await;
             }
         }
     }
@@ -132,7 +132,7 @@
             }
             Err(error) => log::debug!("the list of machines could not be read: {error}"),
         }
-        ntex_time::sleep(LIST_INTERVAL).await;
+        timer::sleep(LIST_INTERVAL).await;
     }
 }
 
--- a/crates/waxwing-process/src/lib.rs
+++ b/crates/waxwing-process/src/lib.rs
@@ -7,7 +7,8 @@
 //! * [`metrics`]: counters and histograms, and their text form.
 //! * [`reporter`]: events to the journal and the log at once.
 //! * [`admin`]: health, readiness, metrics and events over HTTP.
-//! * [`signal`]: waits for the order to end.
+//! * [`signal`]: waits for orders that come as signals.
+//! * [`timer`]: waiting on the clock in asynchronous code.
 
 pub mod admin;
 pub mod arguments;
@@ -17,3 +18,4 @@
 pub mod reporter;
 pub mod settings;
 pub mod signal;
+pub mod timer;
--- a/crates/waxwing-vm/src/connections.rs
+++ b/crates/waxwing-vm/src/connections.rs
@@ -14,9 +14,9 @@
 use ntex::connect;
 use ntex::http;
 use ntex::service;
-use ntex::time as ntex_time;
 use waxwing_machine::placement;
 use waxwing_process::clock;
+use waxwing_process::timer;
 use waxwing_request::attempt;
 use waxwing_units::id;
 use waxwing_units::time as units_time;
@@ -115,8 +115,8 @@
     let noting = service::apply_fn_factory(connect, async move |to, connector| {
         state.set(attempt::State::Connecting);
         let connecting = connector.call(to);
-        let connected = ntex_time::timeout(CONNECT_TIMEOUT, connecting).await;
-        let io = connected.map_err(|()| timed_out())??;
+        let connected = timer::timeout(CONNECT_TIMEOUT, connecting).await;
+        let io = connected.map_err(|timer::Elapsed| timed_out())??;
         state.set(attempt::State::Sending);
         Ok::<_, connect::ConnectError>(io)
     });
--- a/crates/waxwing-vm/src/contracts.rs
+++ b/crates/waxwing-vm/src/contracts.rs
@@ -8,7 +8,6 @@
 use std::sync;
 use std::time;
 
-use ntex::time as ntex_time;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 use tokio::sync::futures;
@@ -18,6 +17,7 @@
 use waxwing_machine::entry_vm;
 use waxwing_machine::membership;
 use waxwing_process::clock;
+use waxwing_process::timer;
 use waxwing_protocol::peer;
 use waxwing_route::table;
 use waxwing_route::terms;
@@ -263,7 +263,7 @@
             Attempt::Wait(notify) => notify,
         };
         let left = give_up_at.since(clock::now());
-        if ntex_time::timeout(left, notify).await.is_err() {
+        if timer::timeout(left, notify).await.is_err() {
             log::debug!("no loan for {organisation} in time");
         }
     }
--- a/crates/waxwing-vm/src/exchange.rs
+++ b/crates/waxwing-vm/src/exchange.rs
@@ -11,10 +11,10 @@
 use ntex::http;
 use ntex::http::body;
 use ntex::http::header;
-use ntex::time as ntex_time;
 use ntex::util as ntex_util;
 use waxwing_machine::placement;
 use waxwing_machine::strain;
+use waxwing_process::timer;
 use waxwing_request::attempt;
 
 use crate::connections;
@@ -99,9 +99,9 @@
     };
     let name = request.request.clone();
     let exchanging = send_and_read(&connection, front, &name, lease, request);
-    let exchanged = ntex_time::timeout(timeout, exchanging).await;
+    let exchanged = timer::timeout(timeout, exchanging).await;
     let exchanged = exchanged
-        .unwrap_or_else(|()| Err(failure(connection.state(), attempt::Fault::DeadlinePassed)));
+        .unwrap_or_else(|_| Err(failure(connection.state(), attempt::Fault::DeadlinePassed)));
     let reading = match &exchanged {
         Ok(answer) => Some(answer.reading),
         Err(failure) => failure.reading,
--- a/crates/waxwing-vm/src/follow.rs
+++ b/crates/waxwing-vm/src/follow.rs
@@ -4,7 +4,6 @@
 use std::sync::atomic;
 use std::time;
 
-use ntex::time as ntex_time;
 use parking_lot::Mutex;
 use waxwing_machine::entry_vm;
 use waxwing_machine::membership;
@@ -13,6 +12,7 @@
 use waxwing_machine::server;
 use waxwing_platform::registry;
 use waxwing_process::clock;
+use waxwing_process::timer;
 use waxwing_units::id;
 use waxwing_units::rendezvous;
 use waxwing_units::time as units_time;
@@ -50,13 +50,14 @@
     loop {
         let asked_at = clock::now();
         let answered = registry.configuration().await;
+        log::debug!("asked for the configuration at {asked_at}: {:?}", answered.as_ref().err());
         note_store("configuration", &mut was_answered, answered.as_ref().err());
         match answered {
             Ok(news) => {
                 put_in_force(&vm, news, asked_at);
-                ntex_time::sleep(interval).await;
+                timer::sleep(interval).await;
             }
-            Err(_) => ntex_time::sleep(RETRY_INTERVAL).await,
+            Err(_) => timer::sleep(RETRY_INTERVAL).await,
         }
     }
 }
@@ -114,12 +115,12 @@
             Ok(listed) => {
                 let is_settled = take_in(&vm, &servers, listed);
                 refill(&vm, &servers);
-                ntex_time::sleep(if is_settled { interval } else { RETRY_INTERVAL }).await;
+                timer::sleep(if is_settled { interval } else { RETRY_INTERVAL }).await;
             }
             Err(_) => {
                 servers.lock().store_failed(asked_at);
                 vm.note_store_failed();
-                ntex_time::sleep(RETRY_INTERVAL).await;
+                timer::sleep(RETRY_INTERVAL).await;
             }
         }
     }
@@ -142,7 +143,7 @@
 /// Works out shares of contracts and owners of servers again; never returns.
 pub async fn tick(vm: vm::Shared, servers: Servers) {
     loop {
-        ntex_time::sleep(TICK_INTERVAL).await;
+        timer::sleep(TICK_INTERVAL).await;
         share_out(&vm);
         refill(&vm, &servers);
     }
@@ -229,7 +230,7 @@
                 RETRY_INTERVAL
             }
         };
-        ntex_time::sleep(pause).await;
+        timer::sleep(pause).await;
     }
 }
 
@@ -255,12 +256,12 @@
                 peers::beat(&vm);
             }
             Err(_) => {
-                ntex_time::sleep(RETRY_INTERVAL).await;
+                timer::sleep(RETRY_INTERVAL).await;
                 continue;
             }
         }
         admit(&vm, registry.as_ref()).await;
-        ntex_time::sleep(members_interval(&vm)).await;
+        timer::sleep(members_interval(&vm)).await;
     }
 }
 
--- a/crates/waxwing-vm/src/journey.rs
+++ b/crates/waxwing-vm/src/journey.rs
@@ -7,10 +7,10 @@
 use futures_util::StreamExt;
 use ntex::http;
 use ntex::http::header;
-use ntex::time as ntex_time;
 use ntex::util as ntex_util;
 use ntex::web;
 use waxwing_process::clock;
+use waxwing_process::timer;
 use waxwing_route::route;
 use waxwing_route::table;
 use waxwing_units::id;
@@ -206,7 +206,7 @@
     }
     let max_bytes = table.map_or(u64::MAX, |table| table.limits().body_max_bytes.0);
     let reading = read_chunks(vm, payload, max_bytes);
-    let read = ntex_time::timeout(deadline.since(clock::now()), reading).await;
+    let read = timer::timeout(deadline.since(clock::now()), reading).await;
     read.unwrap_or(Err(refusal::Refusal::BodyBroken))
 }
 
--- a/crates/waxwing-vm/src/run.rs
+++ b/crates/waxwing-vm/src/run.rs
@@ -14,6 +14,7 @@
 use waxwing_platform::registry;
 use waxwing_process::clock;
 use waxwing_process::signal;
+use waxwing_process::timer;
 
 use crate::carry;
 use crate::connections;
@@ -155,18 +156,18 @@
     let end_max = vm.settings().settings.end_max.duration();
     vm.set_stage(vm::Stage::Leaving);
     peers::beat(vm);
-    ntex_time::sleep((end_max / LEAVING_PART).saturating_sub(clock::now().since(began_at))).await;
+    timer::sleep((end_max / LEAVING_PART).saturating_sub(clock::now().since(began_at))).await;
     vm.set_stage(vm::Stage::Closed);
     vm.membership.lock().set_registration(None);
-    let leaving = ntex_time::timeout(LEAVE_MAX, registry.leave());
+    let leaving = timer::timeout(LEAVE_MAX, registry.leave());
     if let Ok(Err(error)) = leaving.await {
         log::info!("the registration could not be withdrawn: {error}");
     }
     let last_at = began_at.after(end_max.saturating_sub(END_MARGIN));
     while vm.under_way.load(atomic::Ordering::Acquire) > 0 && clock::now() < last_at {
-        ntex_time::sleep(FINISH_INTERVAL).await;
+        timer::sleep(FINISH_INTERVAL).await;
     }
     // The last bytes of the last answer leave before the process does.
-    ntex_time::sleep(FINISH_INTERVAL).await;
+    timer::sleep(FINISH_INTERVAL).await;
     log::info!("machine {} ends", vm.about.vm);
 }
