feat: one line and counters for each request, an admin address, room for urgent requests

Each request ends with one structured line: id, route, service, organisation, version of the configuration and its age, attempts, outcome, reason, time. Metrics and state are served on the admin address. Less urgent requests find half of the room to wait at a server, so that urgent ones are refused less at high load.

--- a/crates/waxwing-machine/src/placement.rs
+++ b/crates/waxwing-machine/src/placement.rs
@@ -58,6 +58,8 @@
     pub allows: &'a dyn Fn(&id::FailureDomainId) -> bool,
     /// Whether a failure domain is in the region that the request came to.
     pub is_near: &'a dyn Fn(&id::FailureDomainId) -> bool,
+    /// How many ranks of requests are more urgent; each one leaves less room to wait.
+    pub rank: u32,
     /// Servers that the request was sent to already.
     pub tried: &'a [id::BackendServerId],
 }
@@ -152,8 +154,8 @@
             .take(self.options.homes.max(1))
             .collect();
         let load = |at: &&usize| self.places[**at].strain_permille(now);
-        let has_room =
-            |at: &&usize| load(at) < FULL_PERMILLE * (1 + self.options.queued_per_slot_max);
+        let queued = FULL_PERMILLE * self.options.queued_per_slot_max / (1 + want.rank);
+        let has_room = |at: &&usize| load(at) < FULL_PERMILLE + queued;
         let has_free_slot = |at: &&usize| load(at) < FULL_PERMILLE;
         let chosen = homes
             .first()
--- a/crates/waxwing-machine/tests/machine/placement.rs
+++ b/crates/waxwing-machine/tests/machine/placement.rs
@@ -61,7 +61,7 @@
 }
 
 fn want<'a>(object: &'a str, tried: &'a [id::BackendServerId]) -> placement::Want<'a> {
-    placement::Want { object: Some(object), allows: &|_| true, is_near: &|_| false, tried }
+    placement::Want { object: Some(object), allows: &|_| true, is_near: &|_| false, rank: 0, tried }
 }
 
 fn begin(pool: &mut placement::Pool, ms: u64, object: &str) -> Option<placement::Lease> {
@@ -178,6 +178,7 @@
         object: Some("x"),
         allows: &|domain| domain.as_str() != "nausori",
         is_near: &|_| false,
+        rank: 0,
         tried: &tried,
     };
     assert_eq!(pool.begin(at_ms(0), &want), placement::Choice::Nobody);
@@ -245,3 +246,18 @@
     pool.end(at_ms(20), &lease, strain::Ending::Failed, None);
     assert_eq!(begin(&mut pool, 20, "x").expect("room").started, id::Incarnation(2));
 }
+
+#[test]
+fn less_urgent_requests_leave_room_to_wait_for_more_urgent_ones() {
+    let known = servers(1);
+    let wait = |pool: &mut placement::Pool, rank: u32| {
+        let want = placement::Want { rank, ..want("x", &[]) };
+        let is_taken =
+            |_: &u32| matches!(pool.begin(at_ms(0), &want), placement::Choice::Server(_));
+        (0..10).take_while(is_taken).count()
+    };
+    let mut pool = pool_of(&known, &[], false);
+    assert_eq!(wait(&mut pool, 1), 3, "two slots and half of the room to wait");
+    assert_eq!(wait(&mut pool, 0), 1, "the rest of the room");
+    assert_eq!(wait(&mut pool_of(&known, &[], false), 0), 4);
+}
--- a/crates/waxwing-process/src/lib.rs
+++ b/crates/waxwing-process/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`admin`]: health, readiness, metrics and events over HTTP.
 //! * [`signal`]: waits for orders that come as signals.
 //! * [`timer`]: waiting on the clock in asynchronous code.
+//! * [`volume`]: bounds how much is logged.
 
 pub mod admin;
 pub mod arguments;
@@ -19,3 +20,4 @@
 pub mod settings;
 pub mod signal;
 pub mod timer;
+pub mod volume;
--- a/crates/waxwing-route/src/table.rs
+++ b/crates/waxwing-route/src/table.rs
@@ -34,6 +34,7 @@
     organisations: Vec<terms::Organisation>,
     keys: Vec<Key>,
     limits: terms::CallerLimits,
+    most_urgent: route::Priority,
 }
 
 /// Who sent a request, as far as its key tells.
@@ -61,7 +62,8 @@
         organisations.sort_by(|a, b| a.organisation.cmp(&b.organisation));
         let mut keys: Vec<Key> = organisations.iter().flat_map(keys_of).collect();
         keys.sort_by_key(|key| key.digest);
-        Self { version, hosts, services, organisations, keys, limits }
+        let most_urgent = most_urgent(&hosts, &organisations);
+        Self { version, hosts, services, organisations, keys, limits, most_urgent }
     }
 
     /// Returns the operators' number of the table.
@@ -97,6 +99,11 @@
         Some(&self.services[at])
     }
 
+    /// Returns how many ranks are more urgent than `priority`, by the most urgent one in use.
+    pub fn rank(&self, priority: route::Priority) -> u32 {
+        priority.0.saturating_sub(self.most_urgent.0)
+    }
+
     /// Returns an organisation.
     pub fn organisation(&self, name: &id::OrganisationId) -> Option<&terms::Organisation> {
         let at = self.organisations.binary_search_by(|found| found.organisation.cmp(name)).ok()?;
@@ -118,6 +125,12 @@
     }
 }
 
+fn most_urgent(hosts: &[route::Host], organisations: &[terms::Organisation]) -> route::Priority {
+    let by_route = hosts.iter().flat_map(|host| &host.routes).map(|route| route.priority);
+    let by_organisation = organisations.iter().filter_map(|terms| terms.priority);
+    by_route.chain(by_organisation).min().unwrap_or_default()
+}
+
 fn keys_of(organisation: &terms::Organisation) -> Vec<Key> {
     let key = |digest: &digest::KeyDigest| Key {
         digest: *digest,
--- a/crates/waxwing-vm/src/carry.rs
+++ b/crates/waxwing-vm/src/carry.rs
@@ -6,7 +6,6 @@
 use ntex::http;
 use ntex::web;
 use waxwing_machine::placement;
-use waxwing_process::clock;
 use waxwing_request::attempt;
 use waxwing_request::outcome;
 use waxwing_units::id;
@@ -17,6 +16,7 @@
 use crate::journey;
 use crate::pools;
 use crate::refusal;
+use crate::trace;
 use crate::vm;
 
 /// The time below which a request is not sent, since no answer can come back within it.
@@ -49,21 +49,24 @@
     kept: web::types::State<Kept>,
 ) -> web::HttpResponse {
     let under_way = UnderWay::begin(&vm);
-    let began_at = clock::now();
     let arrival = vm.front.arrival(&request);
     let name = arrival.request.clone();
-    let path = arrival.path.clone();
-    let prepared = journey::prepare(&vm, &request, payload.into_inner(), arrival).await;
-    let carried = match prepared {
-        Ok(journey) => run(&vm, &kept, &request, &journey).await,
+    let mut trace = trace::Trace::begin(&vm, &arrival);
+    let payload = payload.into_inner();
+    let carried = match journey::prepare(&vm, &request, payload, arrival, &mut trace).await {
+        Ok(journey) => run(&vm, &kept, &request, &journey, &mut trace).await,
         Err(refusal) => Err(refusal),
     };
     let mut response = match carried {
-        Ok(answer) => respond(answer),
+        Ok(answer) => {
+            trace.end(trace::Outcome::Answered, answer.status.as_u16(), "");
+            respond(answer)
+        }
         Err(refusal) => {
-            let took_ms = clock::now().since(began_at).as_millis();
-            log::info!("request {name} to {path} is refused after {took_ms} ms: {refusal}");
-            vm.front.refusal(&name, &refusal)
+            let response = vm.front.refusal(&name, &refusal);
+            let reason = refusal.to_string();
+            trace.end(trace::Outcome::Refused, response.status().as_u16(), &reason);
+            response
         }
     };
     if vm.stage() != vm::Stage::Serving {
@@ -94,6 +97,7 @@
     kept: &Kept,
     request: &web::HttpRequest,
     journey: &journey::Journey,
+    trace: &mut trace::Trace,
 ) -> refusal::Result<exchange::Answer> {
     let mut tried = Tried::default();
     loop {
@@ -104,6 +108,7 @@
         }
         tried.servers.push(slot.lease().server.clone());
         let exchanged = send(vm, kept, request, journey, &mut slot).await;
+        note_attempt(trace, slot.lease(), &exchanged);
         let failure = match exchanged {
             Ok(answer) if !wants_better(vm, journey, &answer, &tried) => return Ok(answer),
             Ok(_) => continue,
@@ -114,6 +119,20 @@
     }
 }
 
+fn note_attempt(
+    trace: &mut trace::Trace,
+    lease: &placement::Lease,
+    exchanged: &Result<exchange::Answer, exchange::Failure>,
+) {
+    match exchanged {
+        Ok(answer) => trace.note_attempt(&lease.server, answer.status.as_str()),
+        Err(failure) => {
+            let ending = format!("{} while {}", failure.fault, failure.state);
+            trace.note_attempt(&lease.server, &ending);
+        }
+    }
+}
+
 /// Tells whether a failed answer is worth another attempt, and takes a repeat for it.
 fn wants_better(
     vm: &vm::Shared,
@@ -147,6 +166,7 @@
         object: object.as_deref(),
         allows: &allows,
         is_near: &is_near,
+        rank: journey.rank,
         tried: &tried.servers,
     };
     let fault = match journey.left() > SENT_LEFT_MIN {
@@ -198,13 +218,6 @@
             Some(answer.reading)
         }
         Err(failure) => {
-            log::info!(
-                "request {} at {}: {} while {}",
-                journey.arrival.request,
-                lease.server,
-                failure.fault,
-                failure.state
-            );
             slot.set_ending(failure.ending(), failure.load());
             failure.reading
         }
--- /dev/null
+++ b/crates/waxwing-vm/src/counters.rs
@@ -0,0 +1,97 @@
+//! What an entry VM counts.
+
+use std::time;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics as otel_metrics;
+use waxwing_process::clock;
+use waxwing_process::metrics;
+
+use crate::vm;
+
+/// What an entry VM counts.
+pub struct Counters {
+    requests: otel_metrics::Counter<u64>,
+    attempts: otel_metrics::Counter<u64>,
+    charges: otel_metrics::Counter<u64>,
+    store_calls: otel_metrics::Counter<u64>,
+    duration_ms: otel_metrics::Histogram<f64>,
+}
+
+impl Counters {
+    /// Creates the counters.
+    pub fn new(metrics: &metrics::Metrics) -> Self {
+        let meter = metrics.meter();
+        let counter = |name: &'static str, what: &'static str| {
+            meter.u64_counter(name).with_description(what).build()
+        };
+        Self {
+            requests: counter("waxwing_requests", "Requests by outcome and status"),
+            attempts: counter("waxwing_attempts", "Attempts at backend servers by ending"),
+            charges: counter("waxwing_charges", "Charges of organisations by outcome"),
+            store_calls: counter("waxwing_store_calls", "Calls to the store by kind and outcome"),
+            duration_ms: meter
+                .f64_histogram("waxwing_request_duration_ms")
+                .with_description("Time from a request to its end, in milliseconds")
+                .build(),
+        }
+    }
+
+    /// Counts a request.
+    pub fn count_request(&self, outcome: &'static str, status: u16, took: time::Duration) {
+        let labels =
+            [KeyValue::new("outcome", outcome), KeyValue::new("status", i64::from(status))];
+        self.requests.add(1, &labels);
+        self.duration_ms.record(took.as_secs_f64() * 1e3, &labels[..1]);
+    }
+
+    /// Counts an attempt.
+    pub fn count_attempt(&self, ending: &str) {
+        self.attempts.add(1, &[KeyValue::new("ending", ending.to_owned())]);
+    }
+
+    /// Counts a charge.
+    pub fn count_charge(&self, outcome: &'static str) {
+        self.charges.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts a call to the store.
+    pub fn count_store_call(&self, kind: &'static str, is_answered: bool) {
+        let outcome = if is_answered { "answered" } else { "failed" };
+        let labels = [KeyValue::new("kind", kind), KeyValue::new("outcome", outcome)];
+        self.store_calls.add(1, &labels);
+    }
+}
+
+/// Shows what an entry VM believes.
+pub fn observe(vm: &vm::Shared, metrics: &metrics::Metrics) {
+    let meter = metrics.meter();
+    let gauge = |name: &'static str, what: &'static str, value: fn(&vm::Vm) -> u64| {
+        let of = vm.clone();
+        meter
+            .u64_observable_gauge(name)
+            .with_description(what)
+            .with_callback(move |observer| observer.observe(value(&of), &[]))
+            .build();
+    };
+    gauge("waxwing_configuration_version", "Version of the configuration in force", |vm| {
+        vm.table().map_or(0, |table| table.version().0)
+    });
+    gauge("waxwing_configuration_age_ms", "Age of the word that it is the newest", |vm| {
+        let confirmed_at = vm.in_force().confirmed_at;
+        let age = confirmed_at.map_or(time::Duration::MAX, |at| clock::now().since(at));
+        u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+    });
+    gauge("waxwing_members", "Members of the fleet by the store", |vm| {
+        vm.membership.lock().len() as u64
+    });
+    gauge("waxwing_holds_shares", "1 where this machine holds shares of contracts", |vm| {
+        u64::from(vm.membership.lock().holders(clock::now()).is_some())
+    });
+    gauge("waxwing_store_steady_ms", "How long the store has answered all calls", |vm| {
+        vm.store_steady().0
+    });
+    gauge("waxwing_requests_under_way", "Requests whose answers have not ended", |vm| {
+        vm.under_way.load(std::sync::atomic::Ordering::Acquire)
+    });
+}
--- a/crates/waxwing-vm/src/follow.rs
+++ b/crates/waxwing-vm/src/follow.rs
@@ -51,6 +51,7 @@
         let asked_at = clock::now();
         let answered = registry.configuration().await;
         log::debug!("asked for the configuration at {asked_at}: {:?}", answered.as_ref().err());
+        vm.counters.count_store_call("configuration", answered.is_ok());
         note_store("configuration", &mut was_answered, answered.as_ref().err());
         match answered {
             Ok(news) => {
@@ -110,6 +111,7 @@
     loop {
         let asked_at = clock::now();
         let answered = registry.servers().await;
+        vm.counters.count_store_call("servers", answered.is_ok());
         note_store("backend servers", &mut was_answered, answered.as_ref().err());
         match answered {
             Ok(listed) => {
@@ -249,6 +251,7 @@
     let mut was_answered = true;
     loop {
         let answered = registry.members().await;
+        vm.counters.count_store_call("members", answered.is_ok());
         note_store("members", &mut was_answered, answered.as_ref().err());
         match answered {
             Ok(reading) => {
--- a/crates/waxwing-vm/src/journey.rs
+++ b/crates/waxwing-vm/src/journey.rs
@@ -19,6 +19,7 @@
 use crate::contracts;
 use crate::front;
 use crate::refusal;
+use crate::trace;
 use crate::vm;
 
 /// What is known of a request on its way.
@@ -35,6 +36,8 @@
     pub organisation: Option<id::OrganisationId>,
     /// The regions in which it may run; none where all may.
     pub allowed_regions: Option<Vec<id::RegionId>>,
+    /// How many ranks of requests are more urgent.
+    pub rank: u32,
     /// When it has to be answered.
     pub deadline: units_time::MonoInstant,
     /// The body.
@@ -105,9 +108,12 @@
     request: &web::HttpRequest,
     payload: http::Payload,
     arrival: front::Arrival,
+    trace: &mut trace::Trace,
 ) -> refusal::Result<Journey> {
     let began_at = clock::now();
-    let table = vm.table();
+    let in_force = vm.in_force();
+    trace.note_configuration(&in_force);
+    let table = in_force.table;
     let route = table.as_ref().and_then(|table| table.route(&arrival.host, &arrival.path)).cloned();
     let timeout = match (&route, arrival.timeout) {
         (Some(route), Some(wanted)) => wanted.min(route.timeout),
@@ -122,18 +128,34 @@
     }
     let table = table.ok_or(refusal::Refusal::NoConfiguration)?;
     let route = route.ok_or(refusal::Refusal::NoRoute)?;
+    trace.note_route(&route.name);
     let body = body?;
     let organisation = sender(vm, &table, &route, &arrival)?;
+    trace.note_organisation(organisation.as_ref());
     if let Some(organisation) = &organisation {
         let charged = contracts::charge(vm, organisation, deadline).await;
+        vm.counters.count_charge(if charged.is_ok() { "charged" } else { "refused" });
         charged.map_err(refusal::Refusal::NotCharged)?;
     }
     let terms = organisation.as_ref().and_then(|organisation| table.organisation(organisation));
     let allowed_regions =
         allowed_regions(&route, terms.map(|terms| terms.allowed_regions.as_slice()));
+    let priority = terms.and_then(|terms| terms.priority).unwrap_or(route.priority);
+    let rank = table.rank(priority);
     let service = vm.pools.next_service(&route).ok_or(refusal::Refusal::NoServer)?;
-    let method = request.method().clone();
-    Ok(Journey { arrival, method, route, service, organisation, allowed_regions, deadline, body })
+    let journey = Journey {
+        arrival,
+        method: request.method().clone(),
+        route,
+        service,
+        organisation,
+        allowed_regions,
+        rank,
+        deadline,
+        body,
+    };
+    trace.note_journey(&journey);
+    Ok(journey)
 }
 
 /// How long a request may take of which no route tells.
--- a/crates/waxwing-vm/src/lib.rs
+++ b/crates/waxwing-vm/src/lib.rs
@@ -6,6 +6,8 @@
 //! * [`settings`]: the settings.
 //! * [`front`]: how requests, refusals and answers look on the wire, for an adapter to say.
 //! * [`carry`]: a request from its arrival to its answer.
+//! * [`trace`]: what is written and counted of one request.
+//! * [`counters`]: what an entry VM counts.
 //! * [`journey`]: what is known of a request, and the checks before it may run.
 //! * [`refusal`]: everything that a caller can be told instead of an answer.
 //! * [`exchange`]: one request and its answer on a connection to a backend server.
@@ -20,6 +22,7 @@
 pub mod carry;
 pub mod connections;
 pub mod contracts;
+pub mod counters;
 pub mod directory;
 pub mod exchange;
 pub mod follow;
@@ -30,4 +33,5 @@
 pub mod refusal;
 pub mod run;
 pub mod settings;
+pub mod trace;
 pub mod vm;
--- a/crates/waxwing-vm/src/run.rs
+++ b/crates/waxwing-vm/src/run.rs
@@ -12,12 +12,17 @@
 use ntex::time as ntex_time;
 use ntex::web;
 use waxwing_platform::registry;
+use waxwing_process::admin;
 use waxwing_process::clock;
+use waxwing_process::metrics;
+use waxwing_process::reporter;
 use waxwing_process::signal;
 use waxwing_process::timer;
+use waxwing_timeline::event;
 
 use crate::carry;
 use crate::connections;
+use crate::counters;
 use crate::directory;
 use crate::follow;
 use crate::front;
@@ -57,12 +62,16 @@
     let peer_address = settings.peer_address;
     let socket = net::UdpSocket::bind(peer_address)
         .wrap_err_with(|| format!("peer_address {peer_address} can't be bound"))?;
-    let vm = sync::Arc::new(vm::Vm::new(settings, front, socket));
+    let metrics = metrics::Metrics::new()?;
+    let counters = counters::Counters::new(&metrics);
+    let vm = sync::Arc::new(vm::Vm::new(settings, front, counters, socket));
+    counters::observe(&vm, &metrics);
     log::info!("machine {} has started", vm.about.vm);
     start("peers", &vm, peers::receive_all)?;
     start("heartbeats", &vm, peers::beat_all)?;
     let registry = sync::Arc::new(registry);
     follow_store(&vm, &registry);
+    serve_admin(&vm, metrics)?;
     serve_directory(&vm)?;
     serve_callers(&vm)?;
     obey(&vm, reload).await?;
@@ -101,6 +110,19 @@
     ntex::rt::spawn(follow::tick(vm.clone(), servers));
 }
 
+/// Begins to answer operators, where the settings say so.
+fn serve_admin(vm: &vm::Shared, metrics: metrics::Metrics) -> eyre::Result<()> {
+    let Some(address) = vm.settings().settings.admin_address else {
+        return Ok(());
+    };
+    let shown = vm.clone();
+    let status = sync::Arc::new(move || shown.status_text());
+    let reporter = reporter::Reporter::new(vm.about.vm.clone(), event::Role::Entry);
+    let is_ready = sync::Arc::new(atomic::AtomicBool::new(true));
+    admin::start(address, admin::Admin { is_ready, reporter, metrics, status })
+        .wrap_err_with(|| format!("admin_address {address} can't be bound"))
+}
+
 fn serve_directory(vm: &vm::Shared) -> eyre::Result<()> {
     let shared = vm.clone();
     let server = web::HttpServer::new(async move || {
--- a/crates/waxwing-vm/src/settings.rs
+++ b/crates/waxwing-vm/src/settings.rs
@@ -44,6 +44,8 @@
     pub peer_address: Option<net::SocketAddr>,
     /// Where the platform's store answers.
     pub store_address: Option<net::SocketAddr>,
+    /// Where operators read health, metrics and state; nowhere without it.
+    pub admin_address: Option<net::SocketAddr>,
     /// Threads that carry requests.
     pub workers: usize,
     /// The memory that the process may take.
@@ -95,6 +97,7 @@
             readiness_address: None,
             peer_address: None,
             store_address: None,
+            admin_address: None,
             workers: 1,
             memory_max: size::Bytes(256 * 1024 * 1024),
             withdrawal_max: None,
--- a/crates/waxwing-vm/src/vm.rs
+++ b/crates/waxwing-vm/src/vm.rs
@@ -10,6 +10,7 @@
 use waxwing_machine::entry_vm;
 use waxwing_machine::membership;
 use waxwing_process::clock;
+use waxwing_process::volume;
 use waxwing_request::budget;
 use waxwing_route::freshness;
 use waxwing_route::table;
@@ -18,6 +19,7 @@
 use waxwing_units::time as units_time;
 
 use crate::contracts;
+use crate::counters;
 use crate::front;
 use crate::pools;
 use crate::settings;
@@ -25,6 +27,9 @@
 /// How much sooner than a withdrawn key has to stop working keys are refused.
 const KEY_MARGIN: time::Duration = time::Duration::from_millis(300);
 
+/// Lines that are written of requests each second, at most.
+const REQUEST_LINES_MAX_PER_S: u32 = 100;
+
 /// The part of the memory that bodies of requests may take, as one in this many.
 const BODIES_MEMORY_PART: u64 = 4;
 
@@ -69,6 +74,10 @@
     pub pools: pools::Pools,
     /// The tokens of all organisations.
     pub contracts: contracts::Contracts,
+    /// What is counted.
+    pub counters: counters::Counters,
+    /// Bounds the lines that are written of requests.
+    pub volume: volume::Volume,
     /// Requests whose answers have not ended.
     pub under_way: atomic::AtomicU64,
     /// Bytes of request bodies that are kept.
@@ -86,6 +95,7 @@
     pub fn new(
         settings: settings::Checked,
         front: Box<dyn front::Front>,
+        counters: counters::Counters,
         socket: net::UdpSocket,
     ) -> Self {
         let about = membership::About {
@@ -103,6 +113,8 @@
             has_servers: atomic::AtomicBool::new(false),
             pools: pools::Pools::default(),
             contracts: contracts::Contracts::default(),
+            counters,
+            volume: volume::Volume::new(REQUEST_LINES_MAX_PER_S),
             under_way: atomic::AtomicU64::new(0),
             kept_bytes: atomic::AtomicU64::new(0),
             stage: atomic::AtomicU8::new(Stage::Serving as u8),
@@ -206,6 +218,30 @@
         }
     }
 
+    /// Returns what operators are shown, as JSON.
+    pub fn status_text(&self) -> String {
+        let now = clock::now();
+        let in_force = self.in_force();
+        let membership = self.membership.lock();
+        let reachable: Vec<String> = membership
+            .reachable(now, entry_vm::Phase::Live)
+            .into_iter()
+            .map(|about| about.vm.to_string())
+            .collect();
+        let age = in_force.confirmed_at.map(|at| now.since(at).as_millis());
+        serde_json::json!({
+            "vm": self.about.vm,
+            "version": in_force.table.as_ref().map(|table| table.version().0),
+            "version_age_ms": age.and_then(|age| u64::try_from(age).ok()),
+            "evacuated": in_force.evacuated,
+            "members": membership.len(),
+            "holds_shares": membership.holders(now).is_some(),
+            "reachable": reachable,
+            "store_steady_ms": self.store_steady().0,
+        })
+        .to_string()
+    }
+
     /// Returns the socket for other machines.
     pub const fn socket(&self) -> &net::UdpSocket {
         &self.socket
