--- a/crates/waxwing-vm/src/run.rs
+++ b/crates/waxwing-vm/src/run.rs
@@ -39,8 +39,9 @@
 /// How often the process looks whether all requests have ended.
 const FINISH_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
-/// How long before it is killed the process ends by itself.
-const END_MARGIN: time::Duration = time::Duration::from_millis(400);
+/// How long before it is killed the process ends by itself: this part of the time to end, one in
+/// so many.
+const END_MARGIN_PART: u32 = 8;
 
 /// How long withdrawing the registration may take.
 const LEAVE_MAX: time::Duration = time::Duration::from_millis(300);
@@ -185,7 +186,7 @@
     if let Ok(Err(error)) = leaving.await {
         log::info!("the registration could not be withdrawn: {error}");
     }
-    let last_at = began_at.after(end_max.saturating_sub(END_MARGIN));
+    let last_at = began_at.after(end_max - end_max / END_MARGIN_PART);
     while vm.under_way.load(atomic::Ordering::Acquire) > 0 && clock::now() < last_at {
         timer::sleep(FINISH_INTERVAL).await;
     }
