feat: ask a few members at a time for tokens; keep off connections that servers forget

Loans: a request without a token asked all members for a token or more each; with 28 members 27 tokens left their purses for one request and expired within a second. Members are asked three at a time, nearest first, for what the last quarter of a second needed. Connections: a server that forgets idle connections without a word costs a request that runs at most once its answer; once seen, such requests take only connections that were idle for less than half as long.

--- a/crates/waxwing-contract/src/demand.rs
+++ b/crates/waxwing-contract/src/demand.rs
@@ -6,7 +6,7 @@
 use waxwing_units::time as units_time;
 
 /// Counts requests to tell how many tokens to ask for ahead.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Demand {
     pub(crate) window_began_at: units_time::MonoInstant,
     pub(crate) current: u64,
--- a/crates/waxwing-contract/src/lib.rs
+++ b/crates/waxwing-contract/src/lib.rs
@@ -16,6 +16,7 @@
 //! * [`bucket`]: the level of tokens in a part.
 //! * [`message`]: what machines say to each other about a contract.
 //! * [`options`]: the spans that all machines must agree on.
+//! * [`search`]: whom a member asks for tokens while a request waits.
 //! * [`share`]: how a contract is shared out among the members of a fleet, without seats.
 //! * [`purse`]: the tokens of one organisation on a member: its share, and what others lent.
 //!
@@ -41,5 +42,6 @@
 pub mod options;
 pub mod purse;
 mod question;
+pub mod search;
 pub mod seat;
 pub mod share;
--- a/crates/waxwing-contract/src/purse.rs
+++ b/crates/waxwing-contract/src/purse.rs
@@ -10,6 +10,7 @@
 
 use crate::bucket;
 use crate::contract;
+use crate::demand;
 
 /// How long a loan may be spent, counted by the borrower from when it asked.
 pub const LOAN_VALIDITY: time::Duration = time::Duration::from_millis(1_000);
@@ -17,6 +18,9 @@
 /// The part of a share's burst that is lent only to who has a request waiting: one in this many.
 const RESERVE: i64 = 2;
 
+/// The span whose requests tell how many tokens are asked for.
+const DEMAND_WINDOW: time::Duration = time::Duration::from_millis(250);
+
 /// One whole token.
 const TOKEN: rate::NanoTokens = rate::NanoTokens(rate::NANO_PER_TOKEN);
 
@@ -46,6 +50,7 @@
     bucket: bucket::Bucket,
     borrowed: Vec<Loan>,
     lent: Vec<Loan>,
+    demand: demand::Demand,
 }
 
 impl Purse {
@@ -59,6 +64,11 @@
             bucket: bucket::Bucket::empty(now),
             borrowed: Vec::new(),
             lent: Vec::new(),
+            demand: demand::Demand {
+                window_began_at: units_time::MonoInstant(0),
+                current: 0,
+                previous: 0,
+            },
         }
     }
 
@@ -88,6 +98,7 @@
         if self.level().0 < TOKEN.0 {
             return false;
         }
+        self.demand.count(now, DEMAND_WINDOW);
         let mut due = TOKEN;
         for loan in &mut self.borrowed {
             let taken = loan.amount.min(due);
@@ -134,16 +145,22 @@
         }
     }
 
-    /// Returns how much to ask others for; nothing while there is enough.
-    pub fn wanted(&mut self, now: units_time::MonoInstant) -> rate::NanoTokens {
+    /// Returns how much to ask others for ahead of need; nothing while there is enough.
+    pub fn wanted_ahead(&mut self, now: units_time::MonoInstant) -> rate::NanoTokens {
         self.refresh(now);
-        let target = rate::NanoTokens(self.part.burst_tokens.0 / RESERVE).max(TOKEN);
-        match self.level().0 < target.0 / RESERVE {
-            true => target.minus(self.level()),
+        let usual = self.demand.ahead().nano();
+        match self.level().0 < usual.0.min(self.part.burst_tokens.0 / RESERVE) {
+            true => usual.minus(self.level()),
             false => rate::NanoTokens::ZERO,
         }
     }
 
+    /// Returns how much to ask each of `lenders` members for while a request waits.
+    pub fn wanted_now(&self, lenders: usize) -> rate::NanoTokens {
+        let lenders = i64::try_from(lenders.max(1)).unwrap_or(i64::MAX);
+        rate::NanoTokens(self.demand.ahead().nano().0 / lenders).max(TOKEN)
+    }
+
     /// Returns when the next token is there if nobody lends any; none without a share.
     pub fn next_token_in(&mut self, now: units_time::MonoInstant) -> Option<time::Duration> {
         self.refresh(now);
--- a/crates/waxwing-contract/tests/contract/main.rs
+++ b/crates/waxwing-contract/tests/contract/main.rs
@@ -3,6 +3,7 @@
 mod account;
 mod holder;
 mod purse;
+mod search;
 mod seat;
 mod share;
 mod support;
--- a/crates/waxwing-contract/tests/contract/purse.rs
+++ b/crates/waxwing-contract/tests/contract/purse.rs
@@ -123,3 +123,16 @@
         }
     }
 }
+
+#[test]
+fn a_purse_asks_for_what_it_spends_and_for_nothing_while_it_has_that() {
+    let mut purse = full(100, 40);
+    assert_eq!(purse.wanted_ahead(at_ms(10_000)), tokens(0), "nothing is spent yet");
+    assert_eq!(purse.wanted_now(3), tokens(1));
+    for _ in 0..30 {
+        assert!(purse.spend(at_ms(10_000)));
+    }
+    assert_eq!(purse.wanted_now(3).whole(), rate::Tokens(9));
+    assert!(purse.wanted_ahead(at_ms(10_000)) > tokens(10));
+    assert_eq!(purse.wanted_ahead(at_ms(10_240)), tokens(0), "it has filled again");
+}
--- a/crates/waxwing-vm/src/carry.rs
+++ b/crates/waxwing-vm/src/carry.rs
@@ -210,6 +210,7 @@
         path: journey.arrival.path.clone(),
         headers: vm.front.passed_on(request.headers(), &passing),
         body: journey.body.bytes(),
+        repeatability: journey.route.repeatability,
     };
     let exchanged = exchange::exchange(kept, vm.front.as_ref(), &lease, sending, left).await;
     let reading = match &exchanged {
--- a/crates/waxwing-vm/src/contracts.rs
+++ b/crates/waxwing-vm/src/contracts.rs
@@ -1,10 +1,9 @@
 //! Charges organisations, with tokens of this machine and of others.
 //!
-//! A request is charged from the machine's own purse. Where that is empty, the request asks all
-//! reachable machines for a loan and waits for their answers, shortly. A purse that runs low asks
-//! one machine ahead of need.
+//! A request is charged from the machine's own purse. Where that is empty, the request asks a few
+//! machines at a time for a loan, the nearest first, and waits for their answers, shortly. A purse
+//! that runs low asks ahead of need.
 
-use std::net;
 use std::sync;
 use std::time;
 
@@ -13,6 +12,7 @@
 use tokio::sync::futures;
 use waxwing_contract::contract;
 use waxwing_contract::purse;
+use waxwing_contract::search;
 use waxwing_contract::share;
 use waxwing_machine::entry_vm;
 use waxwing_machine::membership;
@@ -41,8 +41,8 @@
 /// How long to wait between two questions ahead of need.
 const AHEAD_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
-/// The part of a burst that each other machine is asked for: one in this many.
-const BURST_ASKED: i64 = 16;
+/// How long the members are asked in the same order, in nanoseconds.
+const TURN_NS: u64 = 10_000_000;
 
 /// How soon a caller may come back where this machine has no share of a contract.
 const NO_SHARE_RETRY: time::Duration = time::Duration::from_millis(500);
@@ -62,23 +62,13 @@
     },
 }
 
-/// A question to other machines whose answers may still come.
-///
-/// Each machine answers once: a datagram that comes twice must not lend twice.
-#[derive(Debug, Clone)]
-struct Round {
-    nonce: id::Nonce,
-    asked_at: units_time::MonoInstant,
-    unanswered: Vec<net::SocketAddr>,
-}
-
 /// The tokens of one organisation.
 #[derive(Debug)]
 struct Account {
     organisation: id::OrganisationId,
     whole: contract::Part,
     purse: purse::Purse,
-    round: Option<Round>,
+    search: search::Search,
     asked_ahead_at: units_time::MonoInstant,
     dry_until: units_time::MonoInstant,
     answered: sync::Arc<Notify>,
@@ -102,7 +92,7 @@
 /// What an attempt to charge comes to.
 enum Attempt {
     Charged,
-    Wait(futures::OwnedNotified),
+    Wait(futures::OwnedNotified, units_time::MonoInstant),
     Refused(Refused),
 }
 
@@ -161,9 +151,9 @@
     }
 
     /// Takes in a loan of another machine.
-    pub fn receive(&self, from: net::SocketAddr, loan: &peer::Loan) {
+    pub fn receive(&self, lender: &id::VmId, loan: &peer::Loan) {
         let now = clock::now();
-        self.with(&loan.organisation, |account| account.receive(now, from, loan));
+        self.with(&loan.organisation, |account| account.receive(now, lender, loan));
     }
 }
 
@@ -179,7 +169,7 @@
             organisation,
             whole: contract::Part::NONE,
             purse: purse::Purse::empty(now),
-            round: None,
+            search: search::Search::default(),
             asked_ahead_at: units_time::MonoInstant::default(),
             dry_until: units_time::MonoInstant::default(),
             answered: sync::Arc::default(),
@@ -204,39 +194,17 @@
         self.purse.set_part(now, part, until);
     }
 
-    fn receive(&mut self, now: units_time::MonoInstant, from: net::SocketAddr, loan: &peer::Loan) {
-        let Some(round) = self.round.as_mut().filter(|round| round.nonce == loan.nonce) else {
-            log::debug!("a loan of {from} came too late");
+    fn receive(&mut self, now: units_time::MonoInstant, lender: &id::VmId, loan: &peer::Loan) {
+        let Some(asked_at) = self.search.answer(loan.nonce, lender) else {
+            log::debug!("a loan of {lender} came too late or twice");
             return;
         };
-        let Some(at) = round.unanswered.iter().position(|lender| *lender == from) else {
-            log::debug!("a loan of {from} came twice");
-            return;
-        };
-        round.unanswered.swap_remove(at);
-        let (asked_at, is_last) = (round.asked_at, round.unanswered.is_empty());
         self.purse.receive(now, asked_at, loan.amount);
-        if is_last && loan.amount.0 == 0 {
-            self.dry_until = now.after(DRY);
-        }
-        if loan.amount.0 > 0 || is_last {
+        if loan.amount.0 > 0 || self.search.is_answered() {
             self.answered.notify_waiters();
         }
     }
 
-    /// Tells whether answers to the last question may still come.
-    fn is_asking(&self, now: units_time::MonoInstant) -> bool {
-        self.round.as_ref().is_some_and(|round| {
-            !round.unanswered.is_empty() && now.since(round.asked_at) < LOAN_WAIT_MAX
-        })
-    }
-
-    /// Returns how much each other machine is asked for while a request waits.
-    const fn wanted_at_once(&self) -> rate::NanoTokens {
-        let part = self.whole.burst_tokens.0 / BURST_ASKED;
-        rate::NanoTokens(if part > rate::NANO_PER_TOKEN { part } else { rate::NANO_PER_TOKEN })
-    }
-
     fn refusal(&mut self, now: units_time::MonoInstant) -> Refused {
         match self.purse.next_token_in(now) {
             Some(retry_after) => Refused::Exhausted { retry_after },
@@ -255,16 +223,17 @@
     organisation: &id::OrganisationId,
     deadline: units_time::MonoInstant,
 ) -> std::result::Result<(), Refused> {
-    let give_up_at = deadline.min(clock::now().after(LOAN_WAIT_MAX));
+    let began_at = clock::now();
+    let give_up_at = deadline.min(began_at.after(LOAN_WAIT_MAX));
     loop {
-        let notify = match attempt(vm, organisation, give_up_at) {
+        let (answered, until) = match attempt(vm, organisation, give_up_at) {
             Attempt::Charged => return Ok(()),
             Attempt::Refused(refused) => return Err(refused),
-            Attempt::Wait(notify) => notify,
+            Attempt::Wait(answered, until) => (answered, until),
         };
-        let left = give_up_at.since(clock::now());
-        if timer::timeout(left, notify).await.is_err() {
-            log::debug!("no loan for {organisation} in time");
+        let left = give_up_at.min(until).since(clock::now());
+        if timer::timeout(left, answered).await.is_err() {
+            log::debug!("no loan for {organisation} yet");
         }
     }
 }
@@ -275,77 +244,137 @@
     give_up_at: units_time::MonoInstant,
 ) -> Attempt {
     let now = clock::now();
-    let mut ask = None;
-    let attempt = vm.contracts.with(organisation, |account| {
-        if account.purse.spend(now) {
-            ask = ask_ahead(account, now);
-            return Attempt::Charged;
+    // An organisation without a limit has no account.
+    let tried = vm.contracts.with(organisation, |account| account.try_charge(now, give_up_at));
+    let need = match tried {
+        Some(Tried::Done(attempt)) => return attempt,
+        Some(Tried::Asks(need)) => need,
+        None => return Attempt::Charged,
+    };
+    // The members are read outside the account's lock, since they are under a lock of their own.
+    let lenders = lenders(vm, now);
+    let names: Vec<id::VmId> = lenders.iter().map(|lender| lender.vm.clone()).collect();
+    let asked = vm.contracts.with(organisation, |account| match need {
+        purse::Need::Ahead => (account.ask_ahead(now, &names), Attempt::Charged),
+        purse::Need::Waiting => account.ask_now(now, &names),
+    });
+    let Some((questions, attempt)) = asked else {
+        return Attempt::Charged;
+    };
+    send(vm, organisation, &lenders, &questions);
+    attempt
+}
+
+/// What trying to charge an account comes to.
+enum Tried {
+    /// It is decided, or waits for answers.
+    Done(Attempt),
+    /// Others are asked; the request is charged already where they are asked ahead of need.
+    Asks(purse::Need),
+}
+
+/// Whom to ask for a loan, and for how much.
+struct Questions {
+    nonce: id::Nonce,
+    lenders: Vec<id::VmId>,
+    wanted: rate::NanoTokens,
+    need: purse::Need,
+}
+
+impl Account {
+    fn try_charge(
+        &mut self,
+        now: units_time::MonoInstant,
+        give_up_at: units_time::MonoInstant,
+    ) -> Tried {
+        if self.purse.spend(now) {
+            return match self.wants_ahead(now) {
+                true => Tried::Asks(purse::Need::Ahead),
+                false => Tried::Done(Attempt::Charged),
+            };
         }
-        if now < account.dry_until || now >= give_up_at {
-            return Attempt::Refused(account.refusal(now));
+        if now < self.dry_until || now >= give_up_at {
+            return Tried::Done(Attempt::Refused(self.refusal(now)));
         }
-        if !account.is_asking(now) {
-            ask = Some((account.wanted_at_once(), purse::Need::Waiting));
+        match self.search.waits_until() {
+            Some(until) if now < until => Tried::Done(self.wait(until)),
+            _ => Tried::Asks(purse::Need::Waiting),
         }
-        Attempt::Wait(account.answered.clone().notified_owned())
-    });
-    // An organisation without a limit has no account.
-    let attempt = attempt.unwrap_or(Attempt::Charged);
-    match ask {
-        Some((wanted, need)) if !send_asks(vm, organisation, wanted, need) => match attempt {
-            Attempt::Wait(_) => Attempt::Refused(
-                vm.contracts
-                    .with(organisation, |account| account.refusal(now))
-                    .unwrap_or(Refused::NoShare { retry_after: NO_SHARE_RETRY }),
-            ),
-            other => other,
-        },
-        _ => attempt,
     }
-}
 
-/// Returns what to ask others for ahead of need.
-fn ask_ahead(
-    account: &mut Account,
-    now: units_time::MonoInstant,
-) -> Option<(rate::NanoTokens, purse::Need)> {
-    let is_soon = now.since(account.asked_ahead_at) < AHEAD_INTERVAL;
-    if is_soon || account.is_asking(now) || now < account.dry_until {
-        return None;
+    fn wait(&self, until: units_time::MonoInstant) -> Attempt {
+        Attempt::Wait(self.answered.clone().notified_owned(), until)
     }
-    let wanted = account.purse.wanted(now);
-    if wanted.0 <= 0 {
-        return None;
+
+    /// Tells whether others are to be asked ahead of need.
+    fn wants_ahead(&mut self, now: units_time::MonoInstant) -> bool {
+        now.since(self.asked_ahead_at) >= AHEAD_INTERVAL
+            && self.search.is_answered()
+            && now >= self.dry_until
+            && self.purse.wanted_ahead(now).0 > 0
+    }
+
+    /// Returns what to ask others for ahead of need.
+    fn ask_ahead(&mut self, now: units_time::MonoInstant, members: &[id::VmId]) -> Questions {
+        self.asked_ahead_at = now;
+        self.search.begin();
+        let nonce = id::Nonce(now.0);
+        let lenders = self.search.ask_next(now, nonce, members);
+        let count = i64::try_from(lenders.len().max(1)).unwrap_or(i64::MAX);
+        let wanted = rate::NanoTokens(self.purse.wanted_ahead(now).0 / count);
+        Questions { nonce, lenders, wanted, need: purse::Need::Ahead }
+    }
+
+    /// Returns what to ask others for while a request waits; it is refused where all were asked.
+    fn ask_now(
+        &mut self,
+        now: units_time::MonoInstant,
+        members: &[id::VmId],
+    ) -> (Questions, Attempt) {
+        let nonce = id::Nonce(now.0);
+        let lenders = self.search.ask_next(now, nonce, members);
+        let wanted = self.purse.wanted_now(lenders.len());
+        let attempt = match self.search.waits_until() {
+            Some(until) => self.wait(until),
+            None => {
+                self.dry_until = now.after(DRY);
+                self.search.begin();
+                Attempt::Refused(self.refusal(now))
+            }
+        };
+        (Questions { nonce, lenders, wanted, need: purse::Need::Waiting }, attempt)
     }
-    account.asked_ahead_at = now;
-    Some((wanted, purse::Need::Ahead))
 }
 
-/// Asks others for a loan; returns whether there is anybody to ask.
-fn send_asks(
-    vm: &vm::Vm,
-    organisation: &id::OrganisationId,
-    wanted: rate::NanoTokens,
-    need: purse::Need,
-) -> bool {
-    let now = clock::now();
-    let mut lenders: Vec<net::SocketAddr> = {
+/// Returns the members that may be asked, the nearest first and in turns.
+fn lenders(vm: &vm::Vm, now: units_time::MonoInstant) -> Vec<membership::About> {
+    let settings = vm.settings();
+    let here = settings.region_of(&vm.about.failure_domain);
+    let mut lenders: Vec<membership::About> = {
         let membership = vm.membership.lock();
-        let live = membership.reachable(now, entry_vm::Phase::Live);
-        live.into_iter().map(|about| about.peer_address).collect()
+        membership.reachable(now, entry_vm::Phase::Live).into_iter().cloned().collect()
     };
-    let nonce = id::Nonce(now.0);
-    if need == purse::Need::Ahead && !lenders.is_empty() {
-        lenders = vec![lenders[now.0 as usize % lenders.len()]];
+    if !lenders.is_empty() {
+        let turn = usize::try_from(now.0 / TURN_NS).unwrap_or(0) % lenders.len();
+        lenders.rotate_left(turn);
     }
-    if lenders.is_empty() {
-        return false;
-    }
-    let round = Round { nonce, asked_at: now, unanswered: lenders.clone() };
-    vm.contracts.with(organisation, |account| account.round = Some(round));
-    for lender in lenders {
-        let ask = peer::LoanAsk { nonce, organisation: organisation.clone(), wanted, need };
-        peers::send(vm, lender, peer::Body::LoanAsk(ask));
+    lenders.sort_by_key(|about| settings.region_of(&about.failure_domain) != here);
+    lenders
+}
+
+fn send(
+    vm: &vm::Vm,
+    organisation: &id::OrganisationId,
+    lenders: &[membership::About],
+    questions: &Questions,
+) {
+    for lender in lenders.iter().filter(|about| questions.lenders.contains(&about.vm)) {
+        let ask = peer::LoanAsk {
+            nonce: questions.nonce,
+            organisation: organisation.clone(),
+            wanted: questions.wanted,
+            need: questions.need,
+        };
+        peers::send(vm, lender.peer_address, peer::Body::LoanAsk(ask));
     }
-    true
 }
--- a/crates/waxwing-vm/src/exchange.rs
+++ b/crates/waxwing-vm/src/exchange.rs
@@ -35,6 +35,8 @@
     pub headers: Vec<front::Header>,
     /// The body.
     pub body: ntex_util::Bytes,
+    /// Whether it may run more than once.
+    pub repeatability: attempt::Repeatability,
 }
 
 /// A whole answer.
@@ -93,7 +95,7 @@
     request: Request,
     timeout: time::Duration,
 ) -> Result<Answer, Failure> {
-    let Ok(connection) = kept.take(lease).await else {
+    let Ok(connection) = kept.take(lease, request.repeatability).await else {
         log::error!("no client could be made for {}", lease.server);
         return Err(failure(attempt::State::Connecting, attempt::Fault::ConnectFailed));
     };
@@ -106,6 +108,11 @@
         Ok(answer) => Some(answer.reading),
         Err(failure) => failure.reading,
     };
+    if let Err(Failure { state, fault: attempt::Fault::Disconnected, reading: None }) = &exchanged
+        && *state == attempt::State::Sending
+    {
+        kept.note_broken(&connection);
+    }
     if let Some(keeps) = reading.and_then(|reading| reading.keeps) {
         kept.give_back(connection, keeps);
     }
--- a/crates/waxwing-vm/src/peers.rs
+++ b/crates/waxwing-vm/src/peers.rs
@@ -42,7 +42,7 @@
             let loan = peer::Loan { nonce: ask.nonce, organisation: ask.organisation, amount };
             send(vm, from, peer::Body::Loan(loan));
         }
-        peer::Body::Loan(loan) => vm.contracts.receive(from, &loan),
+        peer::Body::Loan(loan) => vm.contracts.receive(&datagram.from.vm, &loan),
         peer::Body::Heartbeat(_) | peer::Body::Contract(_) => {
             log::debug!("a datagram for a keeper was dropped");
         }
