--- a/crates/waxwing-contract/src/purse.rs
+++ b/crates/waxwing-contract/src/purse.rs
@@ -110,6 +110,9 @@
     }
 
     /// Takes out up to `wanted` for another machine and returns how much that is.
+    ///
+    /// Only whole tokens are lent: parts of tokens from several lenders would seldom sum up to a
+    /// whole one before they expire.
     pub fn lend(
         &mut self,
         now: units_time::MonoInstant,
@@ -122,7 +125,7 @@
             Need::Waiting => rate::NanoTokens::ZERO,
         };
         let spare = self.bucket.level().minus(reserve);
-        let amount = wanted.min(spare);
+        let amount = wanted.min(spare).whole().nano();
         if amount.0 <= 0 {
             return rate::NanoTokens::ZERO;
         }
--- a/crates/waxwing-contract/src/search.rs
+++ b/crates/waxwing-contract/src/search.rs
@@ -25,6 +25,7 @@
     asked_at: units_time::MonoInstant,
     asked: Vec<id::VmId>,
     unanswered: Vec<id::VmId>,
+    has_found: bool,
 }
 
 impl Search {
@@ -32,6 +33,7 @@
     pub fn begin(&mut self) {
         self.asked.clear();
         self.unanswered.clear();
+        self.has_found = false;
     }
 
     /// Returns until when answers to the last questions are waited for; none where all have come.
@@ -57,21 +59,28 @@
         next
     }
 
-    /// Notes the answer of a member and returns when it was asked; none where the answer comes too
-    /// late or a second time, which must not lend twice.
+    /// Notes the answer of a member, and whether it lends anything; returns when it was asked, or
+    /// none where the answer comes too late or a second time, which must not lend twice.
     pub fn answer(
         &mut self,
         nonce: id::Nonce,
         lender: &id::VmId,
+        lends: bool,
     ) -> Option<units_time::MonoInstant> {
         if nonce != self.nonce {
             return None;
         }
         let at = self.unanswered.iter().position(|vm| vm == lender)?;
         self.unanswered.swap_remove(at);
+        self.has_found |= lends;
         Some(self.asked_at)
     }
 
+    /// Tells whether anybody has lent anything in this search.
+    pub const fn has_found(&self) -> bool {
+        self.has_found
+    }
+
     /// Tells whether all who were asked have answered.
     pub const fn is_answered(&self) -> bool {
         self.unanswered.is_empty()
--- a/crates/waxwing-contract/tests/contract/purse.rs
+++ b/crates/waxwing-contract/tests/contract/purse.rs
@@ -136,3 +136,12 @@
     assert!(purse.wanted_ahead(at_ms(10_000)) > tokens(10));
     assert_eq!(purse.wanted_ahead(at_ms(10_240)), tokens(0), "it has filled again");
 }
+
+#[test]
+fn only_whole_tokens_are_lent() {
+    let mut purse = full(10, 5);
+    let wanted = rate::NanoTokens(rate::NANO_PER_TOKEN * 5 / 2);
+    assert_eq!(purse.lend(at_ms(10_000), wanted, purse::Need::Waiting), tokens(2));
+    let mut nearly = full(10, 5);
+    assert_eq!(nearly.lend(at_ms(95), tokens(1), purse::Need::Waiting), tokens(0));
+}
--- a/crates/waxwing-contract/tests/contract/search.rs
+++ b/crates/waxwing-contract/tests/contract/search.rs
@@ -27,13 +27,17 @@
     let mut search = search::Search::default();
     search.begin();
     search.ask_next(at_ms(5), id::Nonce(1), &members);
-    assert_eq!(search.answer(id::Nonce(1), &members[0]), Some(at_ms(5)));
-    assert_eq!(search.answer(id::Nonce(1), &members[0]), None, "a second time");
-    assert_eq!(search.answer(id::Nonce(1), &members[3]), None, "nobody asked it");
+    assert_eq!(search.answer(id::Nonce(1), &members[0], true), Some(at_ms(5)));
+    assert_eq!(search.answer(id::Nonce(1), &members[0], true), None, "a second time");
+    assert_eq!(search.answer(id::Nonce(1), &members[3], true), None, "nobody asked it");
     search.ask_next(at_ms(6), id::Nonce(2), &members);
-    assert_eq!(search.answer(id::Nonce(1), &members[1]), None, "too late");
-    assert_eq!(search.answer(id::Nonce(2), &members[3]), Some(at_ms(6)));
-    assert!(search.is_answered());
+    assert_eq!(search.answer(id::Nonce(1), &members[1], true), None, "too late");
+    assert_eq!(search.answer(id::Nonce(2), &members[3], true), Some(at_ms(6)));
+    assert!(search.is_answered() && search.has_found());
+    search.begin();
+    search.ask_next(at_ms(7), id::Nonce(3), &members);
+    assert_eq!(search.answer(id::Nonce(3), &members[0], false), Some(at_ms(7)));
+    assert!(!search.has_found());
 }
 
 #[test]
--- a/crates/waxwing-vm/src/contracts.rs
+++ b/crates/waxwing-vm/src/contracts.rs
@@ -195,7 +195,7 @@
     }
 
     fn receive(&mut self, now: units_time::MonoInstant, lender: &id::VmId, loan: &peer::Loan) {
-        let Some(asked_at) = self.search.answer(loan.nonce, lender) else {
+        let Some(asked_at) = self.search.answer(loan.nonce, lender, loan.amount.0 > 0) else {
             log::debug!("a loan of {lender} came too late or twice");
             return;
         };
@@ -337,7 +337,9 @@
         let attempt = match self.search.waits_until() {
             Some(until) => self.wait(until),
             None => {
-                self.dry_until = now.after(DRY);
+                if !self.search.has_found() {
+                    self.dry_until = now.after(DRY);
+                }
                 self.search.begin();
                 Attempt::Refused(self.refusal(now))
             }
