fix: a request that ran and failed is not told that it did not run

Cause, found by reading: after a failed answer of a request that may run again, a second attempt that found no room was told as not run (503); the answer of the first server was thrown away. It is kept now, and a check that forbids a second attempt says what the first may have done.

--- a/crates/waxwing-contract/src/purse.rs
+++ b/crates/waxwing-contract/src/purse.rs
@@ -109,6 +109,14 @@
         true
     }
 
+    /// Puts back a token that was taken for a request which was never sent.
+    ///
+    /// It goes to this machine's own part, so that there is never more than that has room for.
+    pub fn give_back(&mut self, now: units_time::MonoInstant) {
+        self.bucket.put_back(TOKEN);
+        self.refresh(now);
+    }
+
     /// Takes out up to `wanted` for another machine and returns how much that is.
     ///
     /// Only whole tokens are lent: parts of tokens from several lenders would seldom sum up to a
--- a/crates/waxwing-contract/tests/contract/purse.rs
+++ b/crates/waxwing-contract/tests/contract/purse.rs
@@ -145,3 +145,16 @@
     let mut nearly = full(10, 5);
     assert_eq!(nearly.lend(at_ms(95), tokens(1), purse::Need::Waiting), tokens(0));
 }
+
+#[test]
+fn a_token_that_was_not_used_can_be_put_back_and_never_widens_the_burst() {
+    let mut purse = full(10, 3);
+    assert_eq!(spend_all(&mut purse, at_ms(10_000)), 3);
+    purse.give_back(at_ms(10_000));
+    assert_eq!(spend_all(&mut purse, at_ms(10_000)), 1);
+    (0..9).for_each(|_| purse.give_back(at_ms(10_000)));
+    assert_eq!(spend_all(&mut purse, at_ms(10_000)), 3);
+    let mut none = full(0, 0);
+    none.give_back(at_ms(1));
+    assert!(!none.spend(at_ms(1)), "a machine without a part keeps nothing");
+}
--- a/crates/waxwing-request/src/attempt.rs
+++ b/crates/waxwing-request/src/attempt.rs
@@ -127,6 +127,11 @@
 }
 
 impl History {
+    /// Tells whether any attempt may have run the request.
+    pub const fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+
     /// Judges a fault in the latest attempt, in the light of all attempts before it.
     pub fn judge(
         &mut self,
--- a/crates/waxwing-vm/src/carry.rs
+++ b/crates/waxwing-vm/src/carry.rs
@@ -89,6 +89,8 @@
 struct Tried {
     servers: Vec<id::BackendServerId>,
     history: attempt::History,
+    /// The answer of a server that ran the request and failed, for want of a better one.
+    failed: Option<exchange::Answer>,
 }
 
 /// Sends the request until it is answered or must not be sent again.
@@ -101,8 +103,17 @@
 ) -> refusal::Result<exchange::Answer> {
     let mut tried = Tried::default();
     loop {
-        journey::check_again(vm, journey)?;
-        let mut slot = acquire(vm, journey, &mut tried)?;
+        let mut slot = match next_slot(vm, journey, &mut tried) {
+            Ok(slot) => slot,
+            Err(refusal) => {
+                if let (true, Some(organisation)) =
+                    (tried.servers.is_empty(), &journey.organisation)
+                {
+                    vm.contracts.give_back(organisation);
+                }
+                return tried.failed.take().ok_or(refusal);
+            }
+        };
         if tried.servers.is_empty() {
             vm.pools.earn_repeat(&journey.service, vm.repeats());
         }
@@ -111,11 +122,34 @@
         note_attempt(trace, slot.lease(), &exchanged);
         let failure = match exchanged {
             Ok(answer) if !wants_better(vm, journey, &answer, &tried) => return Ok(answer),
-            Ok(_) => continue,
+            Ok(answer) => {
+                tried.failed = Some(answer);
+                continue;
+            }
             Err(failure) => failure,
         };
         drop(slot);
-        judge(vm, journey, &mut tried, failure)?;
+        if let Err(refusal) = judge(vm, journey, &mut tried, failure) {
+            return tried.failed.take().ok_or(refusal);
+        }
+    }
+}
+
+/// Checks a request and takes a place at a server for its next attempt.
+fn next_slot(
+    vm: &vm::Shared,
+    journey: &journey::Journey,
+    tried: &mut Tried,
+) -> refusal::Result<pools::Slot> {
+    match journey::check_again(vm, journey) {
+        // What an earlier attempt may have done stays true, whatever forbids another one.
+        Err(_) if tried.history.may_have_run() => Err(refusal::Refusal::Failed {
+            state: attempt::State::Waiting,
+            fault: attempt::Fault::NoSlot,
+            outcome: outcome::Outcome::Unknown,
+        }),
+        Err(refusal) => Err(refusal),
+        Ok(()) => acquire(vm, journey, tried),
     }
 }
 
--- a/crates/waxwing-vm/src/contracts.rs
+++ b/crates/waxwing-vm/src/contracts.rs
@@ -142,6 +142,12 @@
         }
     }
 
+    /// Puts back the token of a request that was never sent.
+    pub fn give_back(&self, organisation: &id::OrganisationId) {
+        let now = clock::now();
+        self.with(organisation, |account| account.purse.give_back(now));
+    }
+
     /// Lends tokens to another machine.
     pub fn lend(&self, ask: &peer::LoanAsk) -> rate::NanoTokens {
         let now = clock::now();
--- a/crates/waxwing-vm/src/follow.rs
+++ b/crates/waxwing-vm/src/follow.rs
@@ -44,8 +44,6 @@
 
 /// Follows the configuration; never returns.
 pub async fn configuration<R: registry::Registry>(vm: vm::Shared, registry: sync::Arc<R>) {
-    let apply_max = vm.settings().settings.apply_max.duration();
-    let interval = (apply_max / CONFIGURATION_PART).min(INTERVAL_MAX);
     let mut was_answered = true;
     loop {
         let asked_at = clock::now();
@@ -56,13 +54,23 @@
         match answered {
             Ok(news) => {
                 put_in_force(&vm, news, asked_at);
-                timer::sleep(interval).await;
+                timer::sleep(configuration_interval(&vm)).await;
             }
             Err(_) => timer::sleep(RETRY_INTERVAL).await,
         }
     }
 }
 
+/// Returns how long until the store is asked for the configuration again.
+///
+/// Keys need a newer word than the configuration where they have to stop working sooner.
+fn configuration_interval(vm: &vm::Vm) -> time::Duration {
+    let settings = vm.settings();
+    let apply_max = settings.settings.apply_max.duration();
+    let withdrawal_max = settings.settings.withdrawal_max.map_or(apply_max, |max| max.duration());
+    (apply_max.min(withdrawal_max) / CONFIGURATION_PART).min(INTERVAL_MAX)
+}
+
 /// Logs when the store stops or begins again to answer.
 fn note_store(what: &str, was_answered: &mut bool, error: Option<&registry::Error>) {
     match error {
@@ -146,6 +154,7 @@
 pub async fn tick(vm: vm::Shared, servers: Servers) {
     loop {
         timer::sleep(TICK_INTERVAL).await;
+        vm.shown_ready.store(vm.is_ready(), atomic::Ordering::Release);
         share_out(&vm);
         refill(&vm, &servers);
     }
--- a/crates/waxwing-vm/src/journey.rs
+++ b/crates/waxwing-vm/src/journey.rs
@@ -229,7 +229,7 @@
     let max_bytes = table.map_or(u64::MAX, |table| table.limits().body_max_bytes.0);
     let reading = read_chunks(vm, payload, max_bytes);
     let read = timer::timeout(deadline.since(clock::now()), reading).await;
-    read.unwrap_or(Err(refusal::Refusal::BodyBroken))
+    read.unwrap_or(Err(refusal::Refusal::BodyLate))
 }
 
 async fn read_chunks(
--- a/crates/waxwing-vm/src/refusal.rs
+++ b/crates/waxwing-vm/src/refusal.rs
@@ -43,6 +43,9 @@
     /// The caller's body broke off.
     #[error("the body broke off")]
     BodyBroken,
+    /// The caller's body was not in when the request's time was over.
+    #[error("the body was not in in time")]
+    BodyLate,
     /// The organisation has used up its rate and burst, or nobody can tell.
     #[error("the organisation can't be charged: {0:?}")]
     NotCharged(contracts::Refused),
--- a/crates/waxwing-vm/src/run.rs
+++ b/crates/waxwing-vm/src/run.rs
@@ -119,7 +119,7 @@
     let shown = vm.clone();
     let status = sync::Arc::new(move || shown.status_text());
     let reporter = reporter::Reporter::new(vm.about.vm.clone(), event::Role::Entry);
-    let is_ready = sync::Arc::new(atomic::AtomicBool::new(true));
+    let is_ready = vm.shown_ready.clone();
     admin::start(address, admin::Admin { is_ready, reporter, metrics, status })
         .wrap_err_with(|| format!("admin_address {address} can't be bound"))
 }
--- a/crates/waxwing-vm/src/vm.rs
+++ b/crates/waxwing-vm/src/vm.rs
@@ -78,6 +78,8 @@
     pub counters: counters::Counters,
     /// Bounds the lines that are written of requests.
     pub volume: volume::Volume,
+    /// Whether the machine is ready, as operators are shown.
+    pub shown_ready: sync::Arc<atomic::AtomicBool>,
     /// Requests whose answers have not ended.
     pub under_way: atomic::AtomicU64,
     /// Bytes of request bodies that are kept.
@@ -115,6 +117,7 @@
             contracts: contracts::Contracts::default(),
             counters,
             volume: volume::Volume::new(REQUEST_LINES_MAX_PER_S),
+            shown_ready: sync::Arc::default(),
             under_way: atomic::AtomicU64::new(0),
             kept_bytes: atomic::AtomicU64::new(0),
             stage: atomic::AtomicU8::new(Stage::Serving as u8),
