--- a/crates/waxwing-cli/src/arguments.rs
+++ b/crates/waxwing-cli/src/arguments.rs
@@ -46,6 +46,18 @@
     Status,
     /// Shows the events of all processes in one order.
     Timeline(Timeline),
+    /// Tells from logs what became of a request, and why; needs no platform.
+    Explain(Explain),
+}
+
+/// The arguments of `explain`.
+#[derive(Debug, Args)]
+#[command(after_help = "Example: cat vm-*.log | waxwing explain 733b430cae9237c4")]
+pub struct Explain {
+    /// The caller's name for the request.
+    pub request: String,
+    /// The logs of the machines; standard input without them.
+    pub logs: Vec<path::PathBuf>,
 }
 
 /// Files of records.
--- a/crates/waxwing-cli/src/run.rs
+++ b/crates/waxwing-cli/src/run.rs
@@ -1,6 +1,7 @@
 //! Runs one command.
 
 use std::fs;
+use std::io;
 use std::net;
 use std::path;
 use std::time;
@@ -22,6 +23,7 @@
 
 use crate::arguments;
 use crate::commit;
+use crate::explain;
 use crate::fleet;
 use crate::keys;
 use crate::plan;
@@ -69,6 +71,9 @@
     if let arguments::Command::Check(files) = &arguments.command {
         return Ok(check(&files.files));
     }
+    if let arguments::Command::Explain(explain) = &arguments.command {
+        return explain_request(explain);
+    }
     let settings = match process_settings::load::<settings::Settings>(&arguments.settings) {
         Ok(settings) => settings,
         Err(error) => {
@@ -80,6 +85,7 @@
     let platform = http::Platform::new(address).await;
     match arguments.command {
         arguments::Command::Check(files) => Ok(check(&files.files)),
+        arguments::Command::Explain(explain) => explain_request(&explain),
         arguments::Command::Apply(apply) => write_files(&platform, &apply, json).await,
         arguments::Command::Withdraw(records) => withdraw(&platform, &records.records, json).await,
         arguments::Command::Get(get) => show_records(&platform, &get, json).await,
@@ -332,3 +338,22 @@
         ntex_time::sleep(FOLLOW_INTERVAL).await;
     }
 }
+
+/// Prints what logs tell of a request.
+fn explain_request(arguments: &arguments::Explain) -> eyre::Result<Exit> {
+    let request = arguments.request.as_str();
+    let mut found = Vec::new();
+    if arguments.logs.is_empty() {
+        found.extend(explain::search(io::stdin().lock(), request)?);
+    }
+    for path in &arguments.logs {
+        let log = fs::File::open(path).wrap_err_with(|| path.display().to_string())?;
+        found.extend(explain::search(io::BufReader::new(log), request)?);
+    }
+    found.sort_by(|a, b| a.at.cmp(&b.at));
+    if found.is_empty() {
+        return Err(explain::Error::NotFound { request: request.to_owned() }.into());
+    }
+    found.iter().for_each(|explanation| println!("{explanation}"));
+    Ok(Exit::Done)
+}
