perf(contract): few holders a contract, asked near first; a search ends when it found a token

Two reasons, both seen in lines of each loan. A burst of 25 tokens lay with 25 of 35 machines, a token each. And a search for tokens was never over: after a loan the next request went on with the machines not asked yet, so once all had been asked one request was refused although they had tokens.

Ruled out: asking far machines one at a time or three at a time (no difference beyond noise).

Now a contract has one holder for each six tokens of burst, three at least; near holders are asked one by one, far ones two at a time; a loan ends the search; a machine without a share that heard denials tells 429 with the time in which the contract earns a token, not 503.

--- a/crates/waxwing-contract/src/purse.rs
+++ b/crates/waxwing-contract/src/purse.rs
@@ -160,7 +160,11 @@
     pub fn wanted_ahead(&mut self, now: units_time::MonoInstant) -> rate::NanoTokens {
         self.refresh(now);
         let usual = self.demand.ahead().nano();
-        match self.level().0 < usual.0.min(self.part.burst_tokens.0 / RESERVE) {
+        let enough = match self.has_part(now) {
+            true => usual.min(rate::NanoTokens(self.part.burst_tokens.0 / RESERVE)),
+            false => usual,
+        };
+        match self.level() < enough {
             true => usual.minus(self.level()),
             false => rate::NanoTokens::ZERO,
         }
--- a/crates/waxwing-contract/src/search.rs
+++ b/crates/waxwing-contract/src/search.rs
@@ -1,30 +1,41 @@
 //! Whom a member asks for tokens while a request waits.
 //!
-//! A few members at a time, nearest first, are asked for what the next moments are likely to need.
-//! Asking all at once would take more tokens out of their purses than can be spent before the
-//! loans expire.
+//! Near holders are asked one after the other, since each answers at once; those further away are
+//! asked a few at a time. Asking all at once would take more tokens out of their purses than can be
+//! spent before the loans expire.
 
 use std::time;
 
 use waxwing_units::id;
 use waxwing_units::time as units_time;
 
-/// Members that are asked at a time.
-const GROUP: usize = 3;
+/// Holders further away that are asked at a time.
+const FAR_GROUP: usize = 2;
 
-/// How long the nearest members may take to answer before others are asked too.
+/// How long a near holder may take to answer before others are asked too.
 const NEAR_WAIT: time::Duration = time::Duration::from_millis(25);
 
-/// How long members further away may take.
+/// How long holders further away may take.
 const FAR_WAIT: time::Duration = time::Duration::from_millis(90);
 
-/// A search for tokens among the members.
+/// The members that may lend tokens.
+#[derive(Debug, Clone, Copy)]
+pub struct Holders<'a> {
+    /// Those that answer soon, in the order in which they are asked.
+    pub near: &'a [id::VmId],
+    /// Those further away, in the order in which they are asked.
+    pub far: &'a [id::VmId],
+}
+
+/// A search for tokens among the holders.
 #[derive(Debug, Clone, Default)]
 pub struct Search {
     nonce: id::Nonce,
     asked_at: units_time::MonoInstant,
+    wait: time::Duration,
     asked: Vec<id::VmId>,
     unanswered: Vec<id::VmId>,
+    was_answered: bool,
     has_found: bool,
 }
 
@@ -33,27 +44,40 @@
     pub fn begin(&mut self) {
         self.asked.clear();
         self.unanswered.clear();
+        self.was_answered = false;
         self.has_found = false;
     }
 
     /// Returns until when answers to the last questions are waited for; none where all have come.
     pub fn waits_until(&self) -> Option<units_time::MonoInstant> {
-        let wait = if self.asked.len() <= GROUP { NEAR_WAIT } else { FAR_WAIT };
-        (!self.unanswered.is_empty()).then(|| self.asked_at.after(wait))
+        (!self.unanswered.is_empty()).then(|| self.asked_at.after(self.wait))
     }
 
-    /// Returns whom to ask next, of `members` with the nearest first, and notes that they are
-    /// asked under `nonce`; nobody where all were asked.
+    /// Returns whom to ask next and notes that they are asked under `nonce`; nobody where all were
+    /// asked in vain.
+    ///
+    /// Who has lent may have more, so what follows a loan is a new search.
     pub fn ask_next(
         &mut self,
         now: units_time::MonoInstant,
         nonce: id::Nonce,
-        members: &[id::VmId],
+        holders: Holders<'_>,
     ) -> Vec<id::VmId> {
+        if self.has_found {
+            self.begin();
+        }
         let is_new = |vm: &&id::VmId| !self.asked.contains(vm);
-        let next: Vec<id::VmId> = members.iter().filter(is_new).take(GROUP).cloned().collect();
+        let near: Vec<id::VmId> = holders.near.iter().find(is_new).cloned().into_iter().collect();
+        let (next, wait) = match near.is_empty() {
+            false => (near, NEAR_WAIT),
+            true => {
+                let far = holders.far.iter().filter(is_new).take(FAR_GROUP);
+                (far.cloned().collect(), FAR_WAIT)
+            }
+        };
         self.nonce = nonce;
         self.asked_at = now;
+        self.wait = wait;
         self.asked.extend(next.iter().cloned());
         self.unanswered.clone_from(&next);
         next
@@ -72,10 +96,16 @@
         }
         let at = self.unanswered.iter().position(|vm| vm == lender)?;
         self.unanswered.swap_remove(at);
+        self.was_answered = true;
         self.has_found |= lends;
         Some(self.asked_at)
     }
 
+    /// Tells whether anybody has answered in this search.
+    pub const fn was_answered(&self) -> bool {
+        self.was_answered
+    }
+
     /// Tells whether anybody has lent anything in this search.
     pub const fn has_found(&self) -> bool {
         self.has_found
--- a/crates/waxwing-contract/src/share.rs
+++ b/crates/waxwing-contract/src/share.rs
@@ -5,14 +5,20 @@
 //! long as each holder's reading names all other holders: the share is one in as many as the
 //! reading has members, or one in a fixed number of holders, chosen by rendezvous.
 
+use std::cmp;
+
 use waxwing_units::id;
 use waxwing_units::rate;
 use waxwing_units::rendezvous;
 
 use crate::contract;
 
-/// The burst that a share should have, in tokens; a smaller one refuses what comes at once.
-const BURST_PER_HOLDER_TOKENS: u64 = 1;
+/// The burst that a share should have, in tokens; with a smaller one, tokens lie scattered where
+/// no request is, and a member that needs one has to ask many.
+const BURST_PER_HOLDER_TOKENS: u64 = 6;
+
+/// Holders of a contract whose burst has as many tokens, so that losing one leaves most of it.
+const HOLDERS_MIN: u64 = 3;
 
 /// What one machine holds of a contract.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -36,7 +42,24 @@
 ///
 /// The number depends on the contract alone, so that all members agree on it.
 fn holders_max(whole: contract::Part) -> u64 {
-    (whole.burst_tokens.whole().0 / BURST_PER_HOLDER_TOKENS).max(1)
+    let burst_tokens = whole.burst_tokens.whole().0;
+    (burst_tokens / BURST_PER_HOLDER_TOKENS).max(burst_tokens.min(HOLDERS_MIN)).max(1)
+}
+
+/// Returns the members that hold shares of a contract, by one's reading of the members.
+pub fn holders<'a>(
+    organisation: &id::OrganisationId,
+    whole: contract::Part,
+    members: &'a [id::VmId],
+) -> Vec<&'a id::VmId> {
+    let holders_max = usize::try_from(holders_max(whole)).unwrap_or(usize::MAX);
+    let mut holders: Vec<&id::VmId> = members.iter().collect();
+    if holders.len() > holders_max {
+        let weight = |vm: &id::VmId| rendezvous::weight(organisation.as_str(), vm.as_str());
+        holders.sort_by_cached_key(|vm| cmp::Reverse((weight(vm), *vm)));
+        holders.truncate(holders_max);
+    }
+    holders
 }
 
 /// Returns the share of `me` by its reading of the members, which are sorted.
@@ -49,12 +72,6 @@
     members: &[id::VmId],
 ) -> Option<Share> {
     members.binary_search(me).ok()?;
-    let holders_max = holders_max(whole);
-    if members.len() as u64 <= holders_max {
-        return Some(Share { one_in: members.len() as u64 });
-    }
-    let weight = |vm: &id::VmId| rendezvous::weight(organisation.as_str(), vm.as_str());
-    let mine = (weight(me), me);
-    let ahead = members.iter().filter(|vm| (weight(vm), *vm) > mine).count() as u64;
-    (ahead < holders_max).then_some(Share { one_in: holders_max })
+    let holders = holders(organisation, whole, members);
+    holders.contains(&me).then_some(Share { one_in: holders.len() as u64 })
 }
--- a/crates/waxwing-contract/tests/contract/share.rs
+++ b/crates/waxwing-contract/tests/contract/share.rs
@@ -37,6 +37,28 @@
     assert_eq!(members.iter().filter_map(|me| share_of(whole, me, &members)).count(), 1);
 }
 
+#[test]
+fn a_burst_is_not_scattered_over_more_holders_than_have_a_few_tokens_each() {
+    let members = members(35);
+    let holders = |burst| -> Vec<u64> {
+        members.iter().filter_map(|me| share_of(part(20, burst), me, &members)).collect()
+    };
+    assert_eq!(holders(25), [4; 4]);
+    assert_eq!(holders(10), [3; 3]);
+    assert_eq!(holders(400).len(), 35);
+}
+
+#[test]
+fn members_agree_on_whom_to_ask_for_a_share() {
+    let members = members(35);
+    let whole = part(20, 25);
+    let holders = share::holders(&kiln(), whole, &members);
+    assert_eq!(holders.len(), 4);
+    for me in &members {
+        assert_eq!(holders.contains(&me), share_of(whole, me, &members).is_some(), "{me}");
+    }
+}
+
 #[test]
 fn a_share_is_rounded_down() {
     let share = share::Share { one_in: 3 };
--- a/crates/waxwing-machine/src/membership.rs
+++ b/crates/waxwing-machine/src/membership.rs
@@ -185,12 +185,16 @@
         if !mine.is_admitted || now >= mine.valid_until {
             return None;
         }
-        let names: Vec<id::VmId> =
-            self.reading.members.iter().map(|member| member.about.vm.clone()).collect();
+        let names = self.names();
         names.binary_search(&self.me).ok()?;
         Some(names)
     }
 
+    /// Returns the names of all members by the last reading, sorted.
+    pub fn names(&self) -> Vec<id::VmId> {
+        self.reading.members.iter().map(|member| member.about.vm.clone()).collect()
+    }
+
     /// Returns how many members there are by the last reading, at least one.
     pub const fn len(&self) -> usize {
         if self.reading.members.is_empty() { 1 } else { self.reading.members.len() }
--- a/crates/waxwing-vm/src/contracts.rs
+++ b/crates/waxwing-vm/src/contracts.rs
@@ -1,8 +1,8 @@
 //! Charges organisations, with tokens of this machine and of others.
 //!
-//! A request is charged from the machine's own purse. Where that is empty, the request asks a few
-//! machines at a time for a loan, the nearest first, and waits for their answers, shortly. A purse
-//! that runs low asks ahead of need.
+//! A request is charged from the machine's own purse. Where that is empty, the request asks the
+//! holders of the contract for a loan, the nearest first, and waits for their answers, shortly. A
+//! purse that runs low asks ahead of need.
 
 use std::sync;
 use std::time;
@@ -33,7 +33,7 @@
 const SHARDS: usize = 16;
 
 /// How long a request waits for a loan.
-const LOAN_WAIT_MAX: time::Duration = time::Duration::from_millis(120);
+const LOAN_WAIT_MAX: time::Duration = time::Duration::from_millis(200);
 
 /// How long nobody is asked again after all others had nothing to lend.
 const DRY: time::Duration = time::Duration::from_millis(200);
@@ -41,12 +41,15 @@
 /// How long to wait between two questions ahead of need.
 const AHEAD_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
-/// How long the members are asked in the same order, in nanoseconds.
+/// How long the holders are asked in the same order, in nanoseconds.
 const TURN_NS: u64 = 10_000_000;
 
 /// How soon a caller may come back where this machine has no share of a contract.
 const NO_SHARE_RETRY: time::Duration = time::Duration::from_millis(500);
 
+/// How long a caller is sent away at most where a contract has no rate.
+const RETRY_MAX: time::Duration = time::Duration::from_secs(60);
+
 /// Why an organisation could not be charged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Refused {
@@ -67,8 +70,15 @@
 struct Account {
     organisation: id::OrganisationId,
     whole: contract::Part,
+    /// The members that hold shares, by the reading at `holders_at`.
+    holders: Vec<id::VmId>,
+    holders_at: id::Revision,
+    /// This machine's own share, by the same reading.
+    share: Option<share::Share>,
     purse: purse::Purse,
     search: search::Search,
+    /// Whether a holder answered in the last search that came to its end.
+    is_heard: bool,
     asked_ahead_at: units_time::MonoInstant,
     dry_until: units_time::MonoInstant,
     answered: sync::Arc<Notify>,
@@ -89,6 +99,15 @@
     }
 }
 
+/// The members of the fleet by this machine's reading.
+struct Fleet<'a> {
+    me: &'a id::VmId,
+    names: Vec<id::VmId>,
+    revision: id::Revision,
+    /// This machine's registration while it may hold shares.
+    shares_until: Option<membership::Registration>,
+}
+
 /// What an attempt to charge comes to.
 enum Attempt {
     Charged,
@@ -119,8 +138,12 @@
         slack: rate::Tokens,
     ) {
         let now = clock::now();
-        let holders = membership.holders(now);
-        let until = membership.registration().map(|mine| mine.valid_until).unwrap_or_default();
+        let fleet = Fleet {
+            me: membership.me(),
+            names: membership.names(),
+            revision: membership.revision(),
+            shares_until: membership.holders(now).and(membership.registration()),
+        };
         for terms in table.organisations() {
             let mut shard = self.shard(&terms.organisation).lock();
             let found = shard.binary_search_by(|a| a.organisation.cmp(&terms.organisation));
@@ -134,8 +157,7 @@
                 shard.insert(at, Account::empty(now, terms.organisation.clone()));
                 at
             });
-            let me = (membership.me(), until);
-            shard[at].set_terms(now, limit, slack, holders.as_deref(), me);
+            shard[at].set_terms(now, limit, slack, &fleet);
         }
         for shard in &self.shards {
             shard.lock().retain(|account| is_limited(table, &account.organisation));
@@ -174,8 +196,12 @@
         Self {
             organisation,
             whole: contract::Part::NONE,
+            holders: Vec::new(),
+            holders_at: id::Revision::default(),
+            share: None,
             purse: purse::Purse::empty(now),
             search: search::Search::default(),
+            is_heard: false,
             asked_ahead_at: units_time::MonoInstant::default(),
             dry_until: units_time::MonoInstant::default(),
             answered: sync::Arc::default(),
@@ -187,16 +213,23 @@
         now: units_time::MonoInstant,
         limit: terms::Limit,
         slack: rate::Tokens,
-        holders: Option<&[id::VmId]>,
-        (me, until): (&id::VmId, units_time::MonoInstant),
+        fleet: &Fleet<'_>,
     ) {
-        self.whole = contract::Part {
+        let whole = contract::Part {
             rate_per_second: limit.rate_per_second,
             burst_tokens: limit.burst_tokens.nano().plus(slack.nano()),
         };
-        let share = holders
-            .and_then(|holders| share::share_of(&self.organisation, self.whole, me, holders));
-        let part = share.map_or(contract::Part::NONE, |share| share.of(self.whole));
+        if whole != self.whole || fleet.revision != self.holders_at {
+            let holders = share::holders(&self.organisation, whole, &fleet.names);
+            self.holders = holders.into_iter().cloned().collect();
+            self.holders_at = fleet.revision;
+            self.share = share::share_of(&self.organisation, whole, fleet.me, &fleet.names);
+            self.whole = whole;
+        }
+        let (part, until) = match (self.share, fleet.shares_until) {
+            (Some(share), Some(mine)) => (share.of(whole), mine.valid_until),
+            _ => (contract::Part::NONE, now),
+        };
         self.purse.set_part(now, part, until);
     }
 
@@ -214,6 +247,11 @@
     fn refusal(&mut self, now: units_time::MonoInstant) -> Refused {
         match self.purse.next_token_in(now) {
             Some(retry_after) => Refused::Exhausted { retry_after },
+            None if self.is_heard || self.search.was_answered() => {
+                let token = rate::NanoTokens(rate::NANO_PER_TOKEN);
+                let span = self.whole.rate_per_second.span_of(token);
+                Refused::Exhausted { retry_after: span.min(RETRY_MAX) }
+            }
             None => Refused::NoShare { retry_after: NO_SHARE_RETRY },
         }
     }
@@ -258,16 +296,15 @@
         None => return Attempt::Charged,
     };
     // The members are read outside the account's lock, since they are under a lock of their own.
-    let lenders = lenders(vm, now);
-    let names: Vec<id::VmId> = lenders.iter().map(|lender| lender.vm.clone()).collect();
+    let reachable = Reachable::of(vm, now);
     let asked = vm.contracts.with(organisation, |account| match need {
-        purse::Need::Ahead => (account.ask_ahead(now, &names), Attempt::Charged),
-        purse::Need::Waiting => account.ask_now(now, &names),
+        purse::Need::Ahead => (account.ask_ahead(now, &reachable), Attempt::Charged),
+        purse::Need::Waiting => account.ask_now(now, &reachable),
     });
     let Some((questions, attempt)) = asked else {
         return Attempt::Charged;
     };
-    send(vm, organisation, &lenders, &questions);
+    send(vm, organisation, &reachable, &questions);
     attempt
 }
 
@@ -320,12 +357,24 @@
             && self.purse.wanted_ahead(now).0 > 0
     }
 
+    /// Returns which holders to ask next.
+    fn ask_next(
+        &mut self,
+        now: units_time::MonoInstant,
+        nonce: id::Nonce,
+        reachable: &Reachable,
+    ) -> Vec<id::VmId> {
+        let near = names_among(&reachable.near, &self.holders);
+        let far = names_among(&reachable.far, &self.holders);
+        self.search.ask_next(now, nonce, search::Holders { near: &near, far: &far })
+    }
+
     /// Returns what to ask others for ahead of need.
-    fn ask_ahead(&mut self, now: units_time::MonoInstant, members: &[id::VmId]) -> Questions {
+    fn ask_ahead(&mut self, now: units_time::MonoInstant, reachable: &Reachable) -> Questions {
         self.asked_ahead_at = now;
         self.search.begin();
         let nonce = id::Nonce(now.0);
-        let lenders = self.search.ask_next(now, nonce, members);
+        let lenders = self.ask_next(now, nonce, reachable);
         let count = i64::try_from(lenders.len().max(1)).unwrap_or(i64::MAX);
         let wanted = rate::NanoTokens(self.purse.wanted_ahead(now).0 / count);
         Questions { nonce, lenders, wanted, need: purse::Need::Ahead }
@@ -335,17 +384,16 @@
     fn ask_now(
         &mut self,
         now: units_time::MonoInstant,
-        members: &[id::VmId],
+        reachable: &Reachable,
     ) -> (Questions, Attempt) {
         let nonce = id::Nonce(now.0);
-        let lenders = self.search.ask_next(now, nonce, members);
+        let lenders = self.ask_next(now, nonce, reachable);
         let wanted = self.purse.wanted_now(lenders.len());
         let attempt = match self.search.waits_until() {
             Some(until) => self.wait(until),
             None => {
-                if !self.search.has_found() {
-                    self.dry_until = now.after(DRY);
-                }
+                self.dry_until = now.after(DRY);
+                self.is_heard = self.search.was_answered();
                 self.search.begin();
                 Attempt::Refused(self.refusal(now))
             }
@@ -354,29 +402,42 @@
     }
 }
 
-/// Returns the members that may be asked, the nearest first and in turns.
-fn lenders(vm: &vm::Vm, now: units_time::MonoInstant) -> Vec<membership::About> {
-    let settings = vm.settings();
-    let here = settings.region_of(&vm.about.failure_domain);
-    let mut lenders: Vec<membership::About> = {
-        let membership = vm.membership.lock();
-        membership.reachable(now, entry_vm::Phase::Live).into_iter().cloned().collect()
-    };
-    if !lenders.is_empty() {
-        let turn = usize::try_from(now.0 / TURN_NS).unwrap_or(0) % lenders.len();
-        lenders.rotate_left(turn);
+/// The machines that may be asked, in turns.
+struct Reachable {
+    near: Vec<membership::About>,
+    far: Vec<membership::About>,
+}
+
+impl Reachable {
+    fn of(vm: &vm::Vm, now: units_time::MonoInstant) -> Self {
+        let settings = vm.settings();
+        let here = settings.region_of(&vm.about.failure_domain);
+        let mut all: Vec<membership::About> = {
+            let membership = vm.membership.lock();
+            membership.reachable(now, entry_vm::Phase::Live).into_iter().cloned().collect()
+        };
+        if !all.is_empty() {
+            let turn = usize::try_from(now.0 / TURN_NS).unwrap_or(0) % all.len();
+            all.rotate_left(turn);
+        }
+        let is_near = |about: &membership::About| settings.region_of(&about.failure_domain) == here;
+        let (near, far) = all.into_iter().partition(is_near);
+        Self { near, far }
     }
-    lenders.sort_by_key(|about| settings.region_of(&about.failure_domain) != here);
-    lenders
+}
+
+fn names_among(all: &[membership::About], holders: &[id::VmId]) -> Vec<id::VmId> {
+    all.iter().map(|about| &about.vm).filter(|vm| holders.contains(vm)).cloned().collect()
 }
 
 fn send(
     vm: &vm::Vm,
     organisation: &id::OrganisationId,
-    lenders: &[membership::About],
+    reachable: &Reachable,
     questions: &Questions,
 ) {
-    for lender in lenders.iter().filter(|about| questions.lenders.contains(&about.vm)) {
+    let all = reachable.near.iter().chain(&reachable.far);
+    for lender in all.filter(|about| questions.lenders.contains(&about.vm)) {
         let ask = peer::LoanAsk {
             nonce: questions.nonce,
             organisation: organisation.clone(),
