perf(vm): requests of one connection are carried at the same time and answered in order

Cause: callers send further look-ups before the first is answered; the HTTP library's server carried them one after the other.

--- a/crates/waxwing-vm/src/carry.rs
+++ b/crates/waxwing-vm/src/carry.rs
@@ -3,7 +3,9 @@
 use std::rc;
 use std::sync::atomic;
 
+use futures_util::stream;
 use ntex::http;
+use ntex::util as ntex_util;
 use ntex::web;
 use waxwing_machine::placement;
 use waxwing_request::attempt;
@@ -41,23 +43,39 @@
     }
 }
 
-/// Carries one request.
-pub async fn carry(
-    request: web::HttpRequest,
-    payload: web::types::Payload,
-    vm: web::types::State<vm::Shared>,
-    kept: web::types::State<Kept>,
-) -> web::HttpResponse {
-    let under_way = UnderWay::begin(&vm);
-    let arrival = vm.front.arrival(&request);
+/// A part of a caller's body, or why there are no more.
+pub type Chunk = std::result::Result<ntex_util::Bytes, String>;
+
+/// A request whose body was read.
+pub struct Begun {
+    under_way: UnderWay,
+    name: String,
+    trace: trace::Trace,
+    received: journey::Received,
+}
+
+/// Begins a request and reads its body.
+pub async fn begin(
+    vm: &vm::Shared,
+    head: &http::RequestHead,
+    body: impl stream::Stream<Item = Chunk> + Unpin,
+) -> Begun {
+    let under_way = UnderWay::begin(vm);
+    let arrival = vm.front.arrival(head);
     let name = arrival.request.clone();
-    let mut trace = trace::Trace::begin(&vm, &arrival);
-    let payload = payload.into_inner();
-    let carried = match journey::prepare(&vm, &request, payload, arrival, &mut trace).await {
-        Ok(journey) => run(&vm, &kept, &request, &journey, &mut trace).await,
+    let mut trace = trace::Trace::begin(vm, &arrival);
+    let received = journey::receive(vm, head, body, arrival, &mut trace).await;
+    Begun { under_way, name, trace, received }
+}
+
+/// Carries one request.
+pub async fn carry(vm: &vm::Shared, kept: &Kept, begun: Begun) -> web::HttpResponse {
+    let Begun { under_way, name, mut trace, received } = begun;
+    let carried = match journey::prepare(vm, received, &mut trace).await {
+        Ok(journey) => run(vm, kept, &journey, &mut trace).await,
         Err(refusal) => Err(refusal),
     };
-    let mut response = match carried {
+    let response = match carried {
         Ok(answer) => {
             trace.end(trace::Outcome::Answered, answer.status.as_u16(), "");
             respond(answer)
@@ -69,9 +87,6 @@
             response
         }
     };
-    if vm.stage() != vm::Stage::Serving {
-        response.head_mut().set_connection_type(http::ConnectionType::Close);
-    }
     drop(under_way);
     response
 }
@@ -97,7 +112,6 @@
 async fn run(
     vm: &vm::Shared,
     kept: &Kept,
-    request: &web::HttpRequest,
     journey: &journey::Journey,
     trace: &mut trace::Trace,
 ) -> refusal::Result<exchange::Answer> {
@@ -118,7 +132,7 @@
             vm.pools.earn_repeat(&journey.service, vm.repeats());
         }
         tried.servers.push(slot.lease().server.clone());
-        let exchanged = send(vm, kept, request, journey, &mut slot).await;
+        let exchanged = send(vm, kept, journey, &mut slot).await;
         note_attempt(trace, slot.lease(), &exchanged);
         let failure = match exchanged {
             Ok(answer) if !wants_better(vm, journey, &answer, &tried) => return Ok(answer),
@@ -230,7 +244,6 @@
 async fn send(
     vm: &vm::Shared,
     kept: &Kept,
-    request: &web::HttpRequest,
     journey: &journey::Journey,
     slot: &mut pools::Slot,
 ) -> Result<exchange::Answer, exchange::Failure> {
@@ -242,7 +255,7 @@
         request: journey.arrival.request.clone(),
         method: journey.method.clone(),
         path: journey.arrival.path.clone(),
-        headers: vm.front.passed_on(request.headers(), &passing),
+        headers: vm.front.passed_on(&journey.headers, &passing),
         body: journey.body.bytes(),
         repeatability: journey.route.repeatability,
     };
--- a/crates/waxwing-vm/src/front.rs
+++ b/crates/waxwing-vm/src/front.rs
@@ -85,7 +85,7 @@
 /// How requests, refusals and answers look on the wire.
 pub trait Front: Send + Sync {
     /// Reads what a caller says with its request.
-    fn arrival(&self, request: &web::HttpRequest) -> Arrival;
+    fn arrival(&self, request: &http::RequestHead) -> Arrival;
 
     /// Returns the headers that a backend server gets to see.
     fn passed_on(&self, headers: &header::HeaderMap, passing: &Passing<'_>) -> Vec<Header>;
--- a/crates/waxwing-vm/src/journey.rs
+++ b/crates/waxwing-vm/src/journey.rs
@@ -5,10 +5,10 @@
 use std::time;
 
 use futures_util::StreamExt;
+use futures_util::stream;
 use ntex::http;
 use ntex::http::header;
 use ntex::util as ntex_util;
-use ntex::web;
 use waxwing_process::clock;
 use waxwing_process::timer;
 use waxwing_route::route;
@@ -16,6 +16,7 @@
 use waxwing_units::id;
 use waxwing_units::time as units_time;
 
+use crate::carry;
 use crate::contracts;
 use crate::front;
 use crate::refusal;
@@ -28,6 +29,8 @@
     pub arrival: front::Arrival,
     /// The method.
     pub method: http::Method,
+    /// The headers.
+    pub headers: header::HeaderMap,
     /// The route.
     pub route: route::Route,
     /// The service that the request goes to.
@@ -98,18 +101,28 @@
     }
 }
 
-/// Checks a request, reads its body and charges its organisation.
-///
-/// # Errors
+/// A request whose body was read, before the checks.
+pub struct Received {
+    arrival: front::Arrival,
+    method: http::Method,
+    headers: header::HeaderMap,
+    table: Option<sync::Arc<table::Table>>,
+    route: Option<route::Route>,
+    deadline: units_time::MonoInstant,
+    body: refusal::Result<Kept>,
+}
+
+/// Reads a request's body, within the time that its route allows.
 ///
-/// Returns why the request must not run.
-pub async fn prepare(
+/// The body is read before any answer, also before one that refuses it: an answer to a connection
+/// with unread bytes may be lost.
+pub async fn receive(
     vm: &vm::Shared,
-    request: &web::HttpRequest,
-    payload: http::Payload,
+    head: &http::RequestHead,
+    body: impl stream::Stream<Item = carry::Chunk> + Unpin,
     arrival: front::Arrival,
     trace: &mut trace::Trace,
-) -> refusal::Result<Journey> {
+) -> Received {
     let began_at = clock::now();
     let in_force = vm.in_force();
     trace.note_configuration(&in_force);
@@ -121,8 +134,22 @@
         (None, wanted) => wanted.unwrap_or(UNROUTED_TIMEOUT),
     };
     let deadline = began_at.after(timeout);
-    // The body is read before any answer: an answer to a connection with unread bytes may be lost.
-    let body = read_body(vm, request, payload, deadline, table.as_deref()).await;
+    let body = read_body(vm, body, deadline, table.as_deref()).await;
+    let (method, headers) = (head.method.clone(), head.headers.clone());
+    Received { arrival, method, headers, table, route, deadline, body }
+}
+
+/// Checks a request and charges its organisation.
+///
+/// # Errors
+///
+/// Returns why the request must not run.
+pub async fn prepare(
+    vm: &vm::Shared,
+    received: Received,
+    trace: &mut trace::Trace,
+) -> refusal::Result<Journey> {
+    let Received { arrival, method, headers, table, route, deadline, body } = received;
     if vm.stage() == vm::Stage::Closed {
         return Err(refusal::Refusal::Leaving);
     }
@@ -145,7 +172,8 @@
     let service = vm.pools.next_service(&route).ok_or(refusal::Refusal::NoServer)?;
     let journey = Journey {
         arrival,
-        method: request.method().clone(),
+        method,
+        headers,
         route,
         service,
         organisation,
@@ -215,31 +243,24 @@
 /// Reads a body to its end.
 async fn read_body(
     vm: &vm::Shared,
-    request: &web::HttpRequest,
-    payload: http::Payload,
+    body: impl stream::Stream<Item = carry::Chunk> + Unpin,
     deadline: units_time::MonoInstant,
     table: Option<&table::Table>,
 ) -> refusal::Result<Kept> {
-    let headers = request.headers();
-    let has_body = headers.contains_key(header::TRANSFER_ENCODING)
-        || headers.get(header::CONTENT_LENGTH).is_some_and(|len| len.as_bytes() != b"0");
-    if !has_body {
-        return Ok(Kept::empty(sync::Arc::clone(vm)));
-    }
     let max_bytes = table.map_or(u64::MAX, |table| table.limits().body_max_bytes.0);
-    let reading = read_chunks(vm, payload, max_bytes);
+    let reading = read_chunks(vm, body, max_bytes);
     let read = timer::timeout(deadline.since(clock::now()), reading).await;
     read.unwrap_or(Err(refusal::Refusal::BodyLate))
 }
 
 async fn read_chunks(
     vm: &vm::Shared,
-    mut payload: http::Payload,
+    mut body: impl stream::Stream<Item = carry::Chunk> + Unpin,
     max_bytes: u64,
 ) -> refusal::Result<Kept> {
-    let mut kept = Kept::empty(sync::Arc::clone(vm));
+    let mut kept = Kept::empty(vm.clone());
     let mut whole = ntex_util::BytesMut::new();
-    while let Some(chunk) = payload.next().await {
+    while let Some(chunk) = body.next().await {
         let chunk = chunk.map_err(|error| {
             log::debug!("a body broke off: {error}");
             refusal::Refusal::BodyBroken
--- a/crates/waxwing-vm/src/lib.rs
+++ b/crates/waxwing-vm/src/lib.rs
@@ -5,6 +5,7 @@
 //! * [`run`]: starts the parts and ends them.
 //! * [`settings`]: the settings.
 //! * [`front`]: how requests, refusals and answers look on the wire, for an adapter to say.
+//! * [`serve`]: a caller's connection, with its requests carried at the same time.
 //! * [`carry`]: a request from its arrival to its answer.
 //! * [`trace`]: what is written and counted of one request.
 //! * [`counters`]: what an entry VM counts.
@@ -32,6 +33,7 @@
 pub mod pools;
 pub mod refusal;
 pub mod run;
+pub mod serve;
 pub mod settings;
 pub mod trace;
 pub mod vm;
--- a/crates/waxwing-vm/src/run.rs
+++ b/crates/waxwing-vm/src/run.rs
@@ -1,15 +1,15 @@
 //! Starts the parts of an entry VM and ends them.
 
+use std::convert;
 use std::net;
-use std::rc;
 use std::sync;
 use std::sync::atomic;
 use std::thread;
 use std::time;
 
 use eyre::WrapErr;
-use ntex::http;
-use ntex::time as ntex_time;
+use ntex::io;
+use ntex::service;
 use ntex::web;
 use waxwing_platform::registry;
 use waxwing_process::admin;
@@ -21,21 +21,15 @@
 use waxwing_timeline::event;
 
 use crate::carry;
-use crate::connections;
 use crate::counters;
 use crate::directory;
 use crate::follow;
 use crate::front;
 use crate::peers;
+use crate::serve;
 use crate::settings;
 use crate::vm;
 
-/// How long a caller's connection may be idle, in seconds.
-const IDLE_MAX: ntex_time::Seconds = ntex_time::Seconds(120);
-
-/// How long the head of a request may take, in seconds.
-const HEAD_MAX: ntex_time::Seconds = ntex_time::Seconds(10);
-
 /// How often the process looks whether all requests have ended.
 const FINISH_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
@@ -144,21 +138,17 @@
 
 fn serve_callers(vm: &vm::Shared) -> eyre::Result<()> {
     let shared = vm.clone();
-    let server = web::HttpServer::new(async move || {
-        let kept: carry::Kept = rc::Rc::new(connections::Connections::default());
-        web::App::new()
-            .state(shared.clone())
-            .state(kept)
-            .default_service(web::route().to(carry::carry))
-    });
-    let http =
-        http::HttpServiceConfig::new().set_keepalive_timeout(IDLE_MAX).set_client_timeout(HEAD_MAX);
     let address = vm.settings().entry_address;
-    let server = server
+    let server = ntex::server::build()
         .workers(vm.settings().settings.workers)
         .disable_signals()
-        .config(ntex::SharedCfg::new("entry").add(http))
-        .bind(address)
+        .bind("entry", address, async move |_| {
+            let (vm, kept) = (shared.clone(), carry::Kept::default());
+            service::fn_service(async move |io: io::Io| {
+                serve::serve(io.boxed(), vm.clone(), kept.clone()).await;
+                Ok::<_, convert::Infallible>(())
+            })
+        })
         .wrap_err_with(|| format!("entry_address {address} can't be bound"))?
         .run();
     supervise("entry", server);
