perf(vm): one machine of each region reads the store, others copy what has changed

Ruled out: watching the store at each machine (690 servers register each 1.5 s, so that is as many bytes); handing tables on (a table that is newer is read from the store, so small links carry none of it).

Which machine reads is a rendezvous over those of a region that can be reached (`reader`). Others ask it six times in the bound, over TCP, and are told what has changed since (`listing`), with its age, which they count from when they asked: it frees them for keys as a reading of their own does. Where the word gets old each machine reads by itself. Evacuations are returned whole with each answer, so a reading that finds nothing new still ends one that was copied.

--- a/crates/waxwing-machine/src/lib.rs
+++ b/crates/waxwing-machine/src/lib.rs
@@ -6,6 +6,8 @@
 //! * [`pool`]: the choice of a backend server.
 //! * [`membership`]: who belongs to the fleet by the store, and whether this machine may hold shares.
 //! * [`server`]: a backend server as it registers itself.
+//! * [`listing`]: all registered backend servers, numbered, so that copies are told only changes.
+//! * [`reader`]: which machine of a region reads the store for the others.
 //! * [`roster`]: all registered backend servers, over outages of the store.
 //! * [`placement`]: the choice among all backend servers of a service, by object.
 //! * [`strain`]: what one backend server bears, by its answers.
@@ -13,9 +15,11 @@
 pub mod backend_server;
 pub mod entry_vm;
 pub mod fleet;
+pub mod listing;
 pub mod membership;
 pub mod placement;
 pub mod pool;
+pub mod reader;
 pub mod roster;
 pub mod server;
 pub mod strain;
--- a/crates/waxwing-machine/src/membership.rs
+++ b/crates/waxwing-machine/src/membership.rs
@@ -33,7 +33,7 @@
 }
 
 /// A member of the fleet by the store.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
     /// What it told about itself.
     pub about: About,
--- a/crates/waxwing-machine/src/roster.rs
+++ b/crates/waxwing-machine/src/roster.rs
@@ -41,6 +41,11 @@
         self.failed_at = Some(asked_at);
     }
 
+    /// Notes that the store did not answer another machine at `failed_at`.
+    pub fn note_failed(&mut self, failed_at: units_time::MonoInstant) {
+        self.failed_at = self.failed_at.max(Some(failed_at));
+    }
+
     /// Returns when a question was asked that the store did not answer, if living servers may
     /// still have to register again since.
     pub fn failed_at(&self, now: units_time::MonoInstant) -> Option<units_time::MonoInstant> {
--- a/crates/waxwing-machine/src/server.rs
+++ b/crates/waxwing-machine/src/server.rs
@@ -3,10 +3,11 @@
 use std::net;
 use std::time;
 
+use serde::{Deserialize, Serialize};
 use waxwing_units::id;
 
 /// Whether a backend server takes new work, by its own word.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum State {
     /// It takes work.
     Ready,
@@ -15,7 +16,7 @@
 }
 
 /// A backend server as it registers itself.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Registered {
     /// The server's name.
     pub server: id::BackendServerId,
--- a/crates/waxwing-machine/tests/machine/main.rs
+++ b/crates/waxwing-machine/tests/machine/main.rs
@@ -2,7 +2,9 @@
 
 mod backend_server;
 mod fleet;
+mod listing;
 mod membership;
 mod placement;
 mod pool;
+mod reader;
 mod roster;
--- a/crates/waxwing-platform/src/registry.rs
+++ b/crates/waxwing-platform/src/registry.rs
@@ -28,13 +28,13 @@
     Ended,
 }
 
-/// What has changed in the configuration since the last answer.
+/// What the store says of the configuration.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct News {
-    /// A table that was put in force.
+    /// The table in force; none where it is the one that was returned last.
     pub table: Option<table::Table>,
-    /// All failure domains whose backend servers get nothing, sorted; none where that is as before.
-    pub evacuated: Option<Vec<id::FailureDomainId>>,
+    /// All failure domains whose backend servers get nothing, sorted.
+    pub evacuated: Vec<id::FailureDomainId>,
 }
 
 /// A registration that the store has taken.
@@ -52,7 +52,7 @@
 ///
 /// All answers are linearizable.
 pub trait Registry {
-    /// Returns what has changed in the configuration; nothing where it is as it was.
+    /// Returns the configuration.
     ///
     /// # Errors
     ///
--- a/crates/waxwing-protocol/src/frame.rs
+++ b/crates/waxwing-protocol/src/frame.rs
@@ -6,7 +6,7 @@
 use serde::de;
 
 /// Bytes of a frame's head: the length and the version.
-const HEAD_LEN_BYTES: usize = 5;
+pub const HEAD_LEN_BYTES: usize = 5;
 
 /// The version of the frames.
 pub const VERSION: u8 = 1;
@@ -58,14 +58,12 @@
     Ok(bytes)
 }
 
-/// Reads one message.
+/// Returns how many bytes follow a frame's head.
 ///
 /// # Errors
 ///
-/// Returns an error where the stream fails or ends, or the frame can't be read.
-pub fn read<T: de::DeserializeOwned>(stream: &mut impl io::Read) -> Result<T> {
-    let mut head = [0; HEAD_LEN_BYTES];
-    stream.read_exact(&mut head)?;
+/// Returns an error where the frame is of another version or too large.
+pub fn content_len_bytes(head: [u8; HEAD_LEN_BYTES]) -> Result<usize> {
     let [a, b, c, d, version] = head;
     if version != VERSION {
         return Err(Error::Version { version });
@@ -74,9 +72,29 @@
     if len_bytes > FRAME_MAX_BYTES {
         return Err(Error::TooLarge { len_bytes });
     }
-    let mut content = vec![0; len_bytes];
+    Ok(len_bytes)
+}
+
+/// Decodes what follows a frame's head.
+///
+/// # Errors
+///
+/// Returns an error where it is no message of this type.
+pub fn decode<T: de::DeserializeOwned>(content: &[u8]) -> Result<T> {
+    Ok(postcard::from_bytes(content)?)
+}
+
+/// Reads one message.
+///
+/// # Errors
+///
+/// Returns an error where the stream fails or ends, or the frame can't be read.
+pub fn read<T: de::DeserializeOwned>(stream: &mut impl io::Read) -> Result<T> {
+    let mut head = [0; HEAD_LEN_BYTES];
+    stream.read_exact(&mut head)?;
+    let mut content = vec![0; content_len_bytes(head)?];
     stream.read_exact(&mut content)?;
-    Ok(postcard::from_bytes(&content)?)
+    decode(&content)
 }
 
 /// Writes one message.
--- a/crates/waxwing-vm/src/follow.rs
+++ b/crates/waxwing-vm/src/follow.rs
@@ -8,11 +8,13 @@
 use waxwing_machine::entry_vm;
 use waxwing_machine::membership;
 use waxwing_machine::placement;
+use waxwing_machine::reader;
 use waxwing_machine::roster;
 use waxwing_machine::server;
 use waxwing_platform::registry;
 use waxwing_process::clock;
 use waxwing_process::timer;
+use waxwing_protocol::copy;
 use waxwing_units::id;
 use waxwing_units::rendezvous;
 use waxwing_units::time as units_time;
@@ -33,6 +35,12 @@
 /// How soon the store is asked again after it did not answer.
 const RETRY_INTERVAL: time::Duration = time::Duration::from_millis(200);
 
+/// How soon a machine asks again that does not read the store for others.
+const RETRY_INTERVAL_OTHERS: time::Duration = time::Duration::from_millis(800);
+
+/// How often a machine looks whether it reads the store for others.
+const READER_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(200);
+
 /// How often members are read.
 const MEMBERS_INTERVAL: time::Duration = time::Duration::from_secs(2);
 
@@ -52,15 +60,38 @@
         vm.counters.count_store_call("configuration", answered.is_ok());
         note_store("configuration", &mut was_answered, answered.as_ref().err());
         match answered {
-            Ok(news) => {
-                put_in_force(&vm, news, asked_at);
-                timer::sleep(configuration_interval(&vm)).await;
-            }
-            Err(_) => timer::sleep(RETRY_INTERVAL).await,
+            Ok(news) => put_in_force(&vm, news, asked_at),
+            Err(_) => timer::sleep(retry_interval(&vm)).await,
+        }
+        let known_at = || match vm.wants_table.load(atomic::Ordering::Acquire) {
+            true => None,
+            false => vm.in_force.lock().confirmed_at,
+        };
+        own_reading(&vm, configuration_interval(&vm), known_at).await;
+    }
+}
+
+/// Waits until this machine has to read the store by itself.
+async fn own_reading(
+    vm: &vm::Vm,
+    interval: time::Duration,
+    known_at: impl Fn() -> Option<units_time::MonoInstant>,
+) {
+    loop {
+        let left = reader::own_reading_in(clock::now(), known_at(), interval, vm.reads_store());
+        if left.is_zero() {
+            return;
         }
+        timer::sleep(left.min(READER_CHECK_INTERVAL)).await;
     }
 }
 
+/// Returns how long until the store is asked again after it did not answer: soon by the machine
+/// that reads it for others, which the others then hear from.
+fn retry_interval(vm: &vm::Vm) -> time::Duration {
+    if vm.reads_store() { RETRY_INTERVAL } else { RETRY_INTERVAL_OTHERS }
+}
+
 /// Returns how long until the store is asked for the configuration again.
 ///
 /// Keys need a newer word than the configuration where they have to stop working sooner.
@@ -83,27 +114,42 @@
 
 /// Puts a newer table in force; an older one changes nothing.
 fn put_in_force(vm: &vm::Vm, news: registry::News, asked_at: units_time::MonoInstant) {
-    let is_news = news.table.is_some() || news.evacuated.is_some();
-    {
+    let is_news = {
         let mut in_force = vm.in_force.lock();
+        let mut is_news = false;
         if let Some(table) = news.table {
             let version = in_force.table.as_ref().map(|table| table.version());
             if version <= Some(table.version()) {
                 log::info!("version {} of the configuration is in force", table.version());
                 in_force.table = Some(sync::Arc::new(table));
+                is_news = true;
             }
         }
-        if let Some(evacuated) = news.evacuated {
-            log::info!("evacuated failure domains: {evacuated:?}");
-            in_force.evacuated = evacuated;
-        }
-        in_force.confirmed_at = in_force.confirmed_at.max(Some(asked_at));
-    }
+        is_news | in_force.confirm(asked_at, news.evacuated)
+    };
+    vm.wants_table.store(false, atomic::Ordering::Release);
     if is_news {
         share_out(vm);
     }
 }
 
+/// Takes in what another machine knows of the configuration.
+///
+/// A table that is newer is read from the store; until then nothing is known of its age.
+pub fn hear_configuration(
+    vm: &vm::Vm,
+    known_at: units_time::MonoInstant,
+    told: copy::Configuration,
+) {
+    let mut in_force = vm.in_force.lock();
+    let version = in_force.table.as_ref().map(|table| table.version().0);
+    if version < Some(told.version) {
+        vm.wants_table.store(true, atomic::Ordering::Release);
+    } else if version == Some(told.version) {
+        in_force.confirm(known_at, told.evacuated);
+    }
+}
+
 /// What is known of backend servers, for the loops that change it.
 pub type Servers = sync::Arc<Mutex<roster::Roster>>;
 
@@ -123,21 +169,52 @@
         note_store("backend servers", &mut was_answered, answered.as_ref().err());
         match answered {
             Ok(listed) => {
-                let is_settled = take_in(&vm, &servers, listed);
-                refill(&vm, &servers);
-                timer::sleep(if is_settled { interval } else { RETRY_INTERVAL }).await;
+                vm.note_store_answered();
+                hear_servers(&vm, &servers, asked_at, None, listed);
+                if vm.reads_store() && servers.lock().failed_at(clock::now()).is_some() {
+                    timer::sleep(RETRY_INTERVAL).await;
+                    continue;
+                }
             }
             Err(_) => {
                 servers.lock().store_failed(asked_at);
+                vm.copies.note_failed(asked_at);
                 vm.note_store_failed();
-                timer::sleep(RETRY_INTERVAL).await;
+                timer::sleep(retry_interval(&vm)).await;
             }
         }
+        own_reading(&vm, interval, || vm.copies.servers_at()).await;
+    }
+}
+
+/// Takes in the backend servers that the store listed when it was asked at `known_at`, and when it
+/// last did not answer, if another machine has told that.
+pub fn hear_servers(
+    vm: &vm::Vm,
+    servers: &Servers,
+    known_at: units_time::MonoInstant,
+    failed_at: Option<units_time::MonoInstant>,
+    listed: Vec<server::Registered>,
+) {
+    if !vm.copies.note_servers(known_at, listed.clone()) {
+        return;
     }
+    if let Some(failed_at) = failed_at {
+        vm.copies.note_failed(failed_at);
+        servers.lock().note_failed(failed_at);
+    }
+    take_in(vm, servers, listed);
+    refill(vm, servers);
 }
 
-/// Takes in what the store lists; returns whether servers that are missing count as gone.
-fn take_in(vm: &vm::Vm, servers: &Servers, listed: Vec<server::Registered>) -> bool {
+/// Takes in the members that the store listed when it was asked at `known_at`.
+pub fn hear_members(vm: &vm::Vm, known_at: units_time::MonoInstant, reading: membership::Reading) {
+    vm.copies.note_members(known_at, &reading);
+    vm.membership.lock().read(reading);
+}
+
+/// Takes in what the store lists.
+fn take_in(vm: &vm::Vm, servers: &Servers, listed: Vec<server::Registered>) {
     let now = clock::now();
     let mut roster = servers.lock();
     if let Some(failed_at) = roster.failed_at(now)
@@ -147,7 +224,6 @@
     }
     roster.read(now, listed);
     vm.has_servers.store(true, atomic::Ordering::Release);
-    roster.failed_at(now).is_none()
 }
 
 /// Works out shares of contracts and owners of servers again; never returns.
@@ -259,21 +335,26 @@
 pub async fn members<R: registry::Registry>(vm: vm::Shared, registry: sync::Arc<R>) {
     let mut was_answered = true;
     loop {
+        let asked_at = clock::now();
         let answered = registry.members().await;
         vm.counters.count_store_call("members", answered.is_ok());
         note_store("members", &mut was_answered, answered.as_ref().err());
         match answered {
             Ok(reading) => {
-                vm.membership.lock().read(reading);
+                hear_members(&vm, asked_at, reading);
                 peers::beat(&vm);
             }
-            Err(_) => {
-                timer::sleep(RETRY_INTERVAL).await;
-                continue;
-            }
+            Err(_) => timer::sleep(retry_interval(&vm)).await,
         }
+        own_reading(&vm, members_interval(&vm), || vm.copies.members_at()).await;
+    }
+}
+
+/// Joins the members that hold shares once all others have read this machine's name; never returns.
+pub async fn admission<R: registry::Registry>(vm: vm::Shared, registry: sync::Arc<R>) {
+    loop {
+        timer::sleep(TICK_INTERVAL).await;
         admit(&vm, registry.as_ref()).await;
-        timer::sleep(members_interval(&vm)).await;
     }
 }
 
--- a/crates/waxwing-vm/src/lib.rs
+++ b/crates/waxwing-vm/src/lib.rs
@@ -17,12 +17,14 @@
 //! * [`contracts`]: charges organisations, with tokens of this machine and of others.
 //! * [`directory`]: tells callers which machines to use, and whether this one is ready.
 //! * [`peers`]: datagrams between machines.
+//! * [`copies`]: what machines tell each other of the store.
 //! * [`follow`]: follows the platform's store.
 //! * [`vm`]: what all of them share.
 
 pub mod carry;
 pub mod connections;
 pub mod contracts;
+pub mod copies;
 pub mod counters;
 pub mod directory;
 pub mod exchange;
--- a/crates/waxwing-vm/src/run.rs
+++ b/crates/waxwing-vm/src/run.rs
@@ -21,6 +21,7 @@
 use waxwing_timeline::event;
 
 use crate::carry;
+use crate::copies;
 use crate::counters;
 use crate::directory;
 use crate::follow;
@@ -65,6 +66,10 @@
     start("peers", &vm, peers::receive_all)?;
     start("heartbeats", &vm, peers::beat_all)?;
     let registry = sync::Arc::new(registry);
+    let listener = copies::listen(peer_address)
+        .await
+        .wrap_err_with(|| format!("peer_address {peer_address} can't be bound for questions"))?;
+    ntex::rt::spawn(copies::answer_all(vm.clone(), listener));
     follow_store(&vm, &registry);
     serve_admin(&vm, metrics)?;
     serve_directory(&vm)?;
@@ -102,6 +107,8 @@
     ntex::rt::spawn(follow::servers(vm.clone(), registry.clone(), servers.clone()));
     ntex::rt::spawn(follow::registration(vm.clone(), registry.clone()));
     ntex::rt::spawn(follow::members(vm.clone(), registry.clone()));
+    ntex::rt::spawn(follow::admission(vm.clone(), registry.clone()));
+    ntex::rt::spawn(copies::follow(vm.clone(), servers.clone()));
     ntex::rt::spawn(follow::tick(vm.clone(), servers));
 }
 
--- a/crates/waxwing-vm/src/vm.rs
+++ b/crates/waxwing-vm/src/vm.rs
@@ -19,6 +19,7 @@
 use waxwing_units::time as units_time;
 
 use crate::contracts;
+use crate::copies;
 use crate::counters;
 use crate::front;
 use crate::pools;
@@ -27,6 +28,9 @@
 /// How much sooner than a withdrawn key has to stop working keys are refused.
 const KEY_MARGIN: time::Duration = time::Duration::from_millis(300);
 
+/// How long an answer of the store says that it is there.
+const ANSWERED_VALIDITY: time::Duration = time::Duration::from_millis(1_300);
+
 /// Lines that are written of requests each second, at most.
 const REQUEST_LINES_MAX_PER_S: u32 = 100;
 
@@ -44,6 +48,29 @@
     pub confirmed_at: Option<units_time::MonoInstant>,
 }
 
+impl InForce {
+    /// Notes that nothing newer was known when the store was asked at `asked_at`, and which failure
+    /// domains were evacuated; returns whether those have changed.
+    ///
+    /// An older word changes nothing.
+    pub fn confirm(
+        &mut self,
+        asked_at: units_time::MonoInstant,
+        evacuated: Vec<id::FailureDomainId>,
+    ) -> bool {
+        if self.confirmed_at >= Some(asked_at) {
+            return false;
+        }
+        self.confirmed_at = Some(asked_at);
+        let is_news = evacuated != self.evacuated;
+        if is_news {
+            log::info!("evacuated failure domains: {evacuated:?}");
+            self.evacuated = evacuated;
+        }
+        is_news
+    }
+}
+
 /// How far the process has come with ending.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 #[repr(u8)]
@@ -66,6 +93,10 @@
     pub front: Box<dyn front::Front>,
     /// The configuration in force.
     pub in_force: Mutex<InForce>,
+    /// What is known of the store, in a form that others can copy.
+    pub copies: copies::Copies,
+    /// Whether another machine knows a newer configuration.
+    pub wants_table: atomic::AtomicBool,
     /// Whether backend servers were read from the store.
     pub has_servers: atomic::AtomicBool,
     /// The fleet.
@@ -86,6 +117,7 @@
     pub kept_bytes: atomic::AtomicU64,
     stage: atomic::AtomicU8,
     store_failed_at: Mutex<units_time::MonoInstant>,
+    store_answered_at: Mutex<units_time::MonoInstant>,
     socket: net::UdpSocket,
 }
 
@@ -112,6 +144,8 @@
             about,
             front,
             in_force: Mutex::default(),
+            copies: copies::Copies::default(),
+            wants_table: atomic::AtomicBool::new(false),
             has_servers: atomic::AtomicBool::new(false),
             pools: pools::Pools::default(),
             contracts: contracts::Contracts::default(),
@@ -122,6 +156,7 @@
             kept_bytes: atomic::AtomicU64::new(0),
             stage: atomic::AtomicU8::new(Stage::Serving as u8),
             store_failed_at: Mutex::new(clock::now()),
+            store_answered_at: Mutex::default(),
             socket,
             settings: Mutex::new(sync::Arc::new(settings)),
         }
@@ -207,9 +242,24 @@
         *self.store_failed_at.lock() = clock::now();
     }
 
-    /// Returns how long the store has answered all calls.
+    /// Notes that the store answered.
+    pub fn note_store_answered(&self) {
+        *self.store_answered_at.lock() = clock::now();
+    }
+
+    /// Tells whether this machine reads the store for others.
+    pub fn reads_store(&self) -> bool {
+        copies::reader_of(self).is_none_or(|about| about.vm == self.about.vm)
+    }
+
+    /// Returns how long the store has answered all calls of this machine; zero where it has not
+    /// called lately.
     pub fn store_steady(&self) -> units_time::Millis {
-        let steady = clock::now().since(*self.store_failed_at.lock());
+        let now = clock::now();
+        if now.since(*self.store_answered_at.lock()) > ANSWERED_VALIDITY {
+            return units_time::Millis(0);
+        }
+        let steady = now.since(*self.store_failed_at.lock());
         units_time::Millis(u64::try_from(steady.as_millis()).unwrap_or(u64::MAX))
     }
 
