--- a/crates/waxwing-zone/src/flow.rs
+++ b/crates/waxwing-zone/src/flow.rs
@@ -74,13 +74,11 @@
     let room = shares(&slots).into_iter().map(|share| share * FILL_PERCENT / 100).collect();
     let mut left = Left { room, due: shares(&demand) };
     let mut sent = vec![0; domains.len()];
-    for at in 0..domains.len() {
-        let kept = left.room[at].min(left.due[at]);
-        left.room[at] -= kept;
-        left.due[at] -= kept;
-        if at == from {
-            sent[at] = kept;
-        }
+    sent[from] = left.room[from].min(left.due[from]);
+    for (room, due) in left.room.iter_mut().zip(&mut left.due) {
+        let kept = (*room).min(*due);
+        *room -= kept;
+        *due -= kept;
     }
     let regions = domains.iter().map(|domain| &domain.region);
     let mut regions: Vec<&id::RegionId> = regions.collect();
@@ -98,9 +96,8 @@
 fn shares(of: &[u64]) -> Vec<u64> {
     let sum: u64 = of.iter().sum();
     let count = u64::try_from(of.len()).unwrap_or(1).max(1);
-    of.iter()
-        .map(|one| if sum == 0 { WHOLE_MICRO / count } else { one * WHOLE_MICRO / sum })
-        .collect()
+    let share = |one: &u64| (one * WHOLE_MICRO).checked_div(sum).unwrap_or(WHOLE_MICRO / count);
+    of.iter().map(share).collect()
 }
 
 impl Left {
