--- a/crates/waxwing-zone/src/flow.rs
+++ b/crates/waxwing-zone/src/flow.rs
@@ -54,7 +54,7 @@
     let due: u64 = sent.iter().sum();
     let pull = |domain: &Domain, sent: u64| {
         let even = due * domain.slots;
-        let per_slot = if even == 0 { 0 } else { sent * slots * EVEN_PULL / even };
+        let per_slot = (sent * slots * EVEN_PULL).checked_div(even).unwrap_or(0);
         u32::try_from(per_slot).unwrap_or(u32::MAX).max(1)
     };
     domains
