fix(vm): a machine that the store turns away does not read it for others, and hears from those it serves

Cause: the rendezvous named a reader whatever the store said to it. A reader that was turned away asked nobody, so it refused keys while its neighbour's word was fresh. Heartbeats say whether the store answered a machine's last call; the reader is chosen among those.

--- a/crates/waxwing-machine/src/membership.rs
+++ b/crates/waxwing-machine/src/membership.rs
@@ -74,6 +74,8 @@
     pub phase: entry_vm::Phase,
     /// How long the store has answered all its calls.
     pub store_steady_ms: units_time::Millis,
+    /// Whether the store answered its last call.
+    pub reaches_store: bool,
     /// Requests that came to it lately, each second.
     pub requests_per_s: u32,
 }
@@ -216,6 +218,19 @@
             .collect()
     }
 
+    /// Returns the other machines that are heard and go on serving, and whether the store answered
+    /// the last call of each.
+    pub fn store_callers(
+        &self,
+        now: units_time::MonoInstant,
+    ) -> impl Iterator<Item = (&About, bool)> {
+        self.heard
+            .iter()
+            .filter(move |heard| heard.is_reachable(now))
+            .filter(|heard| heard.heartbeat.phase == entry_vm::Phase::Live)
+            .map(|heard| (&heard.heartbeat.about, heard.heartbeat.reaches_store))
+    }
+
     /// Returns the requests that come to the entry VMs of a failure domain each second, without
     /// those that come to this one.
     pub fn requests_per_s(
--- a/crates/waxwing-machine/tests/machine/membership.rs
+++ b/crates/waxwing-machine/tests/machine/membership.rs
@@ -37,6 +37,7 @@
         revision: id::Revision(revision),
         phase: entry_vm::Phase::Live,
         store_steady_ms: units_time::Millis(0),
+        reaches_store: true,
         requests_per_s: 0,
     }
 }
--- a/crates/waxwing-vm/src/copies.rs
+++ b/crates/waxwing-vm/src/copies.rs
@@ -5,6 +5,7 @@
 //! it says, so it makes the one who hears it as sure of its keys as a reading of its own would.
 
 use std::net;
+use std::sync::atomic;
 use std::time;
 
 use parking_lot::Mutex;
@@ -12,7 +13,6 @@
 use serde::de;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net as tokio_net;
-use waxwing_machine::entry_vm;
 use waxwing_machine::listing;
 use waxwing_machine::membership;
 use waxwing_machine::reader;
@@ -211,18 +211,24 @@
     }
 }
 
-/// Returns the machine of this region that reads the store, which may be this one.
+/// Returns the machine of this region that reads the store, which may be this one: one that the
+/// store answers, if there is any.
 pub fn reader_of(vm: &vm::Vm) -> Option<membership::About> {
     let settings = vm.settings();
     let here = settings.region_of(&vm.about.failure_domain);
     let membership = vm.membership.lock();
-    let mut near = membership.reachable(clock::now(), entry_vm::Phase::Live);
-    near.retain(|about| settings.region_of(&about.failure_domain) == here);
+    let mut near: Vec<(&membership::About, bool)> = membership
+        .store_callers(clock::now())
+        .filter(|(about, _)| settings.region_of(&about.failure_domain) == here)
+        .collect();
     if vm.stage() == vm::Stage::Serving {
-        near.push(&vm.about);
+        near.push((&vm.about, vm.reaches_store.load(atomic::Ordering::Acquire)));
     }
-    let reader = reader::reader(near.iter().map(|about| &about.vm))?;
-    near.iter().find(|about| about.vm == *reader).map(|about| (*about).clone())
+    if near.iter().any(|(_, is_answered)| *is_answered) {
+        near.retain(|(_, is_answered)| *is_answered);
+    }
+    let reader = reader::reader(near.iter().map(|(about, _)| &about.vm))?;
+    near.iter().find(|(about, _)| about.vm == *reader).map(|(about, _)| (*about).clone())
 }
 
 /// Asks a machine and takes in what it tells.
--- a/crates/waxwing-vm/src/follow.rs
+++ b/crates/waxwing-vm/src/follow.rs
@@ -63,7 +63,7 @@
         let answered = registry.configuration().await;
         log::debug!("asked for the configuration at {asked_at}: {:?}", answered.as_ref().err());
         vm.counters.count_store_call("configuration", answered.is_ok());
-        note_store("configuration", &mut was_answered, answered.as_ref().err());
+        note_store(&vm, "configuration", &mut was_answered, answered.as_ref().err());
         match answered {
             Ok(news) => put_in_force(&vm, news, asked_at),
             Err(_) => timer::sleep(retry_interval(&vm)).await,
@@ -108,7 +108,8 @@
 }
 
 /// Logs when the store stops or begins again to answer.
-fn note_store(what: &str, was_answered: &mut bool, error: Option<&registry::Error>) {
+fn note_store(vm: &vm::Vm, what: &str, was_answered: &mut bool, error: Option<&registry::Error>) {
+    vm.reaches_store.store(error.is_none(), atomic::Ordering::Release);
     match error {
         Some(error) if *was_answered => log::warn!("the store does not tell the {what}: {error}"),
         None if !*was_answered => log::info!("the store tells the {what} again"),
@@ -171,7 +172,7 @@
         let asked_at = clock::now();
         let answered = registry.servers().await;
         vm.counters.count_store_call("servers", answered.is_ok());
-        note_store("backend servers", &mut was_answered, answered.as_ref().err());
+        note_store(&vm, "backend servers", &mut was_answered, answered.as_ref().err());
         match answered {
             Ok(listed) => {
                 vm.note_store_answered();
@@ -353,6 +354,9 @@
                 ..mine
             }),
         };
+        let is_there =
+            !matches!(result, Err(registry::Error::NoAnswer(_) | registry::Error::Refused(_)));
+        vm.reaches_store.store(is_there, atomic::Ordering::Release);
         let pause = match result {
             Ok(renewed) => {
                 keep_registration(&vm, renewed);
@@ -389,7 +393,7 @@
         let asked_at = clock::now();
         let answered = registry.members().await;
         vm.counters.count_store_call("members", answered.is_ok());
-        note_store("members", &mut was_answered, answered.as_ref().err());
+        note_store(&vm, "members", &mut was_answered, answered.as_ref().err());
         match answered {
             Ok(reading) => {
                 hear_members(&vm, asked_at, reading);
--- a/crates/waxwing-vm/src/peers.rs
+++ b/crates/waxwing-vm/src/peers.rs
@@ -1,6 +1,7 @@
 //! Datagrams between machines: heartbeats and loans.
 
 use std::net;
+use std::sync::atomic;
 use std::thread;
 use std::time;
 
@@ -75,6 +76,7 @@
         revision,
         phase: vm.phase(),
         store_steady_ms: vm.store_steady(),
+        reaches_store: vm.reaches_store.load(atomic::Ordering::Acquire),
         requests_per_s: vm.arrivals.per_s(clock::now()),
     };
     for target in targets {
--- a/crates/waxwing-vm/src/vm.rs
+++ b/crates/waxwing-vm/src/vm.rs
@@ -96,6 +96,8 @@
     pub in_force: Mutex<InForce>,
     /// What is known of the store, in a form that others can copy.
     pub copies: copies::Copies,
+    /// Whether the store answered the last call.
+    pub reaches_store: atomic::AtomicBool,
     /// Whether another machine knows a newer configuration.
     pub wants_table: atomic::AtomicBool,
     /// Whether backend servers were read from the store.
@@ -148,6 +150,7 @@
             front,
             in_force: Mutex::default(),
             copies: copies::Copies::default(),
+            reaches_store: atomic::AtomicBool::new(true),
             wants_table: atomic::AtomicBool::new(false),
             has_servers: atomic::AtomicBool::new(false),
             pools: pools::Pools::default(),
