--- a/crates/waxwing-vm/src/copies.rs
+++ b/crates/waxwing-vm/src/copies.rs
@@ -25,6 +25,7 @@
 use waxwing_units::time as units_time;
 
 use crate::follow;
+use crate::refill;
 use crate::vm;
 
 /// How often a reader is asked, as a part of the time in which a change has to be known.
@@ -187,7 +188,7 @@
 }
 
 /// Asks the machine that reads the store; never returns.
-pub async fn follow(vm: vm::Shared, servers: follow::Servers) {
+pub async fn follow(vm: vm::Shared, servers: refill::Servers) {
     let settings = vm.settings();
     let known_max = settings.settings.apply_max.min(settings.settings.drain_max).duration();
     let mut source = None;
@@ -234,7 +235,7 @@
 /// Asks a machine and takes in what it tells.
 async fn ask(
     vm: &vm::Shared,
-    servers: &follow::Servers,
+    servers: &refill::Servers,
     source: Option<Source>,
     about: &membership::About,
 ) -> Result<Source> {
@@ -270,7 +271,7 @@
     fn take_in(
         &mut self,
         vm: &vm::Vm,
-        servers: &follow::Servers,
+        servers: &refill::Servers,
         asked_at: units_time::MonoInstant,
         word: copy::Word,
     ) {
--- a/crates/waxwing-vm/src/lib.rs
+++ b/crates/waxwing-vm/src/lib.rs
@@ -14,14 +14,19 @@
 //! * [`exchange`]: one request and its answer on a connection to a backend server.
 //! * [`connections`]: connections to backend servers that are kept.
 //! * [`pools`]: the backend servers of all services.
+//! * [`account`]: the tokens of one organisation on this machine.
+//! * [`lenders`]: the machines that may be asked for tokens.
 //! * [`contracts`]: charges organisations, with tokens of this machine and of others.
 //! * [`directory`]: tells callers which machines to use, and whether this one is ready.
 //! * [`peers`]: datagrams between machines.
 //! * [`arrivals`]: how many requests come.
 //! * [`copies`]: what machines tell each other of the store.
 //! * [`follow`]: follows the platform's store.
+//! * [`register`]: keeps this machine registered.
+//! * [`refill`]: shares out what is known among contracts and pools.
 //! * [`vm`]: what all of them share.
 
+pub mod account;
 pub mod arrivals;
 pub mod carry;
 pub mod connections;
@@ -33,9 +38,12 @@
 pub mod follow;
 pub mod front;
 pub mod journey;
+pub mod lenders;
 pub mod peers;
 pub mod pools;
+pub mod refill;
 pub mod refusal;
+pub mod register;
 pub mod run;
 pub mod serve;
 pub mod settings;
--- /dev/null
+++ b/crates/waxwing-vm/src/refill.rs
@@ -0,0 +1,128 @@
+//! Shares out what is known: this machine's shares of contracts, and the backend servers of each
+//! service with their pull.
+
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use parking_lot::Mutex;
+use waxwing_machine::entry_vm;
+use waxwing_machine::placement;
+use waxwing_machine::roster;
+use waxwing_machine::server;
+use waxwing_process::clock;
+use waxwing_process::timer;
+use waxwing_units::id;
+use waxwing_units::rendezvous;
+use waxwing_zone::flow;
+
+use crate::vm;
+
+/// How often shares of contracts and owners of servers are worked out again.
+const TICK_INTERVAL: time::Duration = time::Duration::from_millis(200);
+
+/// How much more likely a backend server of the own region is a home of an object whose requests
+/// have small bodies than one further away.
+const NEAR_PULL: u32 = 2;
+
+/// What is known of backend servers, for the loops that change it.
+pub type Servers = sync::Arc<Mutex<roster::Roster>>;
+
+/// Works out shares of contracts and owners of servers again; never returns.
+pub async fn tick(vm: vm::Shared, servers: Servers) {
+    loop {
+        timer::sleep(TICK_INTERVAL).await;
+        vm.shown_ready.store(vm.is_ready(), atomic::Ordering::Release);
+        share_out(&vm);
+        refill(&vm, &servers);
+    }
+}
+
+/// Works out this machine's shares of all contracts.
+pub fn share_out(vm: &vm::Vm) {
+    let Some(table) = vm.table() else {
+        return;
+    };
+    let membership = vm.membership.lock();
+    vm.contracts.update(&table, &membership, vm.settings().settings.contract_slack);
+}
+
+/// Takes in which servers there are, and which of them this machine owns.
+pub fn refill(vm: &vm::Vm, servers: &Servers) {
+    let in_force = vm.in_force();
+    let Some(table) = in_force.table else {
+        return;
+    };
+    let live: Vec<id::VmId> = {
+        let membership = vm.membership.lock();
+        let live = membership.reachable(clock::now(), entry_vm::Phase::Live);
+        live.into_iter().map(|about| about.vm.clone()).chain([vm.about.vm.clone()]).collect()
+    };
+    let owns = |server: &id::BackendServerId| owner(server, &live) == Some(&vm.about.vm);
+    let settings = vm.settings();
+    let (options, here) = (settings.placement(), settings.region_of(&vm.about.failure_domain));
+    let roster = servers.lock();
+    for service in table.services() {
+        let known: Vec<&roster::Known> = roster
+            .servers()
+            .iter()
+            .filter(|known| known.registered.service == service.service)
+            .collect();
+        let pulls =
+            flow::pulls(&domains(vm, &known, &in_force.evacuated), &vm.about.failure_domain);
+        let pull = |domain: &id::FailureDomainId| placement::Pull {
+            light: if settings.region_of(domain) == here { NEAR_PULL } else { 1 },
+            bulky: pulls.iter().find(|p| p.failure_domain == *domain).map_or(1, |p| p.per_slot),
+        };
+        let around = placement::Surroundings {
+            evacuated: &in_force.evacuated,
+            owns: &owns,
+            pull: &pull,
+            cold_rate_per_second: service.cold_rate_per_second,
+            options,
+        };
+        vm.pools.update(&service.service, &known, &around);
+    }
+}
+
+/// Returns all failure domains with their slots for one service, whose servers are `known`.
+fn domains(
+    vm: &vm::Vm,
+    known: &[&roster::Known],
+    evacuated: &[id::FailureDomainId],
+) -> Vec<flow::Domain> {
+    let settings = vm.settings();
+    let places = settings.settings.places.iter();
+    let takes_requests = |known: &&&roster::Known| {
+        known.registered.state == server::State::Ready
+            && !evacuated.contains(&known.registered.failure_domain)
+    };
+    let slots = |domain: &id::FailureDomainId| -> u64 {
+        let usable = known.iter().filter(takes_requests);
+        let here = usable.filter(|known| known.registered.failure_domain == *domain);
+        here.map(|known| u64::from(known.registered.slots)).sum()
+    };
+    places
+        .map(|place| flow::Domain {
+            failure_domain: place.failure_domain.clone(),
+            region: place.region.clone(),
+            slots: slots(&place.failure_domain),
+            demand: demand(vm, &place.failure_domain),
+        })
+        .collect()
+}
+
+/// Returns the requests that come to a failure domain each second.
+fn demand(vm: &vm::Vm, failure_domain: &id::FailureDomainId) -> u64 {
+    let now = clock::now();
+    let others = vm.membership.lock().requests_per_s(now, failure_domain);
+    let mine = match *failure_domain == vm.about.failure_domain {
+        true => u64::from(vm.arrivals.per_s(now)),
+        false => 0,
+    };
+    others + mine
+}
+
+fn owner<'a>(server: &id::BackendServerId, live: &'a [id::VmId]) -> Option<&'a id::VmId> {
+    live.iter().max_by_key(|vm| rendezvous::weight(server.as_str(), vm.as_str()))
+}
--- a/crates/waxwing-vm/src/refusal.rs
+++ b/crates/waxwing-vm/src/refusal.rs
@@ -5,7 +5,7 @@
 use waxwing_request::attempt;
 use waxwing_request::outcome;
 
-use crate::contracts;
+use crate::account;
 
 /// How soon a caller may come back where this machine is not the right one now.
 const ELSEWHERE_RETRY: time::Duration = time::Duration::from_millis(50);
@@ -48,7 +48,7 @@
     BodyLate,
     /// The organisation has used up its rate and burst, or nobody can tell.
     #[error("the organisation can't be charged: {0:?}")]
-    NotCharged(contracts::Refused),
+    NotCharged(account::Refused),
     /// No backend server may run the request.
     #[error("no backend server may run the request")]
     NoServer,
@@ -86,7 +86,7 @@
             Self::NoRoute | Self::UnknownKey | Self::BodyTooLarge | Self::BodyBroken => {
                 Meaning::NotAllowed
             }
-            Self::NotCharged(contracts::Refused::Exhausted { .. }) => Meaning::NotRunExhausted,
+            Self::NotCharged(account::Refused::Exhausted { .. }) => Meaning::NotRunExhausted,
             Self::Failed { outcome: outcome::Outcome::Unknown, fault, .. } => match fault {
                 attempt::Fault::DeadlinePassed => Meaning::UnknownTimeout,
                 _ => Meaning::Unknown,
@@ -102,8 +102,8 @@
                 Some(ELSEWHERE_RETRY)
             }
             Self::NotCharged(
-                contracts::Refused::Exhausted { retry_after }
-                | contracts::Refused::NoShare { retry_after },
+                account::Refused::Exhausted { retry_after }
+                | account::Refused::NoShare { retry_after },
             ) => Some(*retry_after),
             Self::NoServer | Self::Failed { .. } => Some(LATER_RETRY),
             _ => None,
--- a/crates/waxwing-vm/src/run.rs
+++ b/crates/waxwing-vm/src/run.rs
@@ -27,6 +27,8 @@
 use crate::follow;
 use crate::front;
 use crate::peers;
+use crate::refill;
+use crate::register;
 use crate::serve;
 use crate::settings;
 use crate::vm;
@@ -102,14 +104,14 @@
 }
 
 fn follow_store<R: registry::Registry + 'static>(vm: &vm::Shared, registry: &sync::Arc<R>) {
-    let servers = follow::Servers::default();
+    let servers = refill::Servers::default();
     ntex::rt::spawn(follow::configuration(vm.clone(), registry.clone()));
     ntex::rt::spawn(follow::servers(vm.clone(), registry.clone(), servers.clone()));
-    ntex::rt::spawn(follow::registration(vm.clone(), registry.clone()));
+    ntex::rt::spawn(register::registration(vm.clone(), registry.clone()));
     ntex::rt::spawn(follow::members(vm.clone(), registry.clone()));
-    ntex::rt::spawn(follow::admission(vm.clone(), registry.clone()));
+    ntex::rt::spawn(register::admission(vm.clone(), registry.clone()));
     ntex::rt::spawn(copies::follow(vm.clone(), servers.clone()));
-    ntex::rt::spawn(follow::tick(vm.clone(), servers));
+    ntex::rt::spawn(refill::tick(vm.clone(), servers));
 }
 
 /// Begins to answer operators, where the settings say so.
