fix(vm): one call that is not answered leaves time for another within the bound

Version 8 was acked at 6.996 s; edge-lakeba-4 answered by an older one 3.4 s later. The reader of its region had stood still until 8.43 s. Ruled out: a machine that stood still itself, and a word taken for newer than it is (its version was older, and such words change nothing).

Readers ask four times in the bound instead of three, others are patient for two of those, a call may take 0.7 s, and the first two pauses after a failed call are 0.2 s for all. The test adds these up.

--- a/crates/waxwing-machine/src/reader.rs
+++ b/crates/waxwing-machine/src/reader.rs
@@ -14,7 +14,23 @@
 const OBJECT: &str = "reads the store";
 
 /// How much longer than a reader a machine waits before it reads by itself, in percent.
-const PATIENCE_PERCENT: u32 = 190;
+const PATIENCE_PERCENT: u32 = 200;
+
+/// How often a reader asks the store within the time in which a change has to be known.
+pub const READINGS_IN_BOUND: u32 = 4;
+
+/// How long a call of the store may take.
+pub const CALL_MAX: time::Duration = time::Duration::from_millis(700);
+
+/// How soon the store is asked again.
+const RETRY_SOON: time::Duration = time::Duration::from_millis(200);
+
+/// How soon the store is asked again by a machine that does not read it for others, once it has
+/// failed several times.
+const RETRY_LATER: time::Duration = time::Duration::from_millis(800);
+
+/// Failures after which all machines ask again soon.
+const SOON_MAX: u32 = 2;
 
 /// Returns the machine that reads the store, of those that can be reached.
 pub fn reader<'a>(machines: impl Iterator<Item = &'a id::VmId>) -> Option<&'a id::VmId> {
@@ -35,3 +51,14 @@
     let patience = if is_reader { interval } else { interval * PATIENCE_PERCENT / 100 };
     patience.saturating_sub(now.since(known_at))
 }
+
+/// Returns how long until the store is asked again after it did not answer `failed` times in a row.
+///
+/// One lost call must not make a change known too late, so the first pauses are short. Later ones
+/// are long for all but the reader, which the others then hear from.
+pub fn retry_in(failed: u32, is_reader: bool) -> time::Duration {
+    match is_reader || failed <= SOON_MAX {
+        true => RETRY_SOON,
+        false => RETRY_LATER,
+    }
+}
--- a/crates/waxwing-machine/tests/machine/reader.rs
+++ b/crates/waxwing-machine/tests/machine/reader.rs
@@ -33,16 +33,29 @@
     };
     assert_eq!(left(5_000, None, false), 0);
     assert_eq!(left(5_000, Some(at_ms(4_400)), true), 400);
-    assert_eq!(left(5_000, Some(at_ms(4_400)), false), 1_300);
+    assert_eq!(left(5_000, Some(at_ms(4_400)), false), 1_400);
     assert_eq!(left(5_000, Some(at_ms(3_000)), false), 0);
 }
 
-/// A drain has to be known in 2.5 s: the word may be as old as a machine's patience, and reading the
-/// store takes time.
+/// Found by a hunt (`freeze-and-step --vary --seed 505139103127` of the grown Cooperative): the reader
+/// stood still, one call of another machine was not answered, and its next came after the bound.
 #[test]
-fn patience_leaves_time_to_read_within_the_bound_of_a_drain() {
-    let bound = time::Duration::from_millis(2_500);
-    let interval = bound / 3;
-    let patience = reader::own_reading_in(at_ms(9_000), Some(at_ms(9_000)), interval, false);
-    assert!(patience < bound * 2 / 3, "{patience:?}");
+fn one_call_that_is_not_answered_leaves_time_for_another_within_the_bound() {
+    let reading = time::Duration::from_millis(250);
+    for bound_ms in [2_500, 3_000] {
+        let bound = time::Duration::from_millis(bound_ms);
+        let interval = bound / reader::READINGS_IN_BOUND;
+        let now = at_ms(9_000);
+        let patience = reader::own_reading_in(now, Some(now), interval, false);
+        let known_in = patience + reader::CALL_MAX + reader::retry_in(1, false) + reading;
+        assert!(known_in < bound, "{known_in:?} of {bound:?}");
+    }
+}
+
+#[test]
+fn a_store_that_stays_away_is_asked_often_by_the_reader_alone() {
+    let pauses =
+        |is_reader| [1, 2, 3, 50].map(|failed| reader::retry_in(failed, is_reader).as_millis());
+    assert_eq!(pauses(true), [200, 200, 200, 200]);
+    assert_eq!(pauses(false), [200, 200, 800, 800]);
 }
--- a/crates/waxwing-vm/src/follow.rs
+++ b/crates/waxwing-vm/src/follow.rs
@@ -17,21 +17,11 @@
 use crate::refill;
 use crate::vm;
 
-/// How often the store is asked whether the configuration has changed, as a part of the time in
-/// which a change has to be in force.
-const CONFIGURATION_PART: u32 = 3;
-
-/// How often backend servers are read, as a part of the time in which a drain has to be known.
-const SERVERS_PART: u32 = 3;
-
 /// How long between two questions at most.
 const INTERVAL_MAX: time::Duration = time::Duration::from_secs(1);
 
-/// How soon the store is asked again after it did not answer.
-const RETRY_INTERVAL: time::Duration = time::Duration::from_millis(200);
-
-/// How soon a machine asks again that does not read the store for others.
-const RETRY_INTERVAL_OTHERS: time::Duration = time::Duration::from_millis(800);
+/// How soon backend servers are read again while those that are missing may yet register.
+const UNSETTLED_INTERVAL: time::Duration = time::Duration::from_millis(200);
 
 /// How often a machine looks whether it reads the store for others.
 const READER_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(200);
@@ -41,16 +31,16 @@
 
 /// Follows the configuration; never returns.
 pub async fn configuration<R: registry::Registry>(vm: vm::Shared, registry: sync::Arc<R>) {
-    let mut was_answered = true;
+    let mut failed = 0;
     loop {
         let asked_at = clock::now();
         let answered = registry.configuration().await;
         log::debug!("asked for the configuration at {asked_at}: {:?}", answered.as_ref().err());
         vm.counters.count_store_call("configuration", answered.is_ok());
-        note_store(&vm, "configuration", &mut was_answered, answered.as_ref().err());
+        note_store(&vm, "configuration", &mut failed, answered.as_ref().err());
         match answered {
             Ok(news) => put_in_force(&vm, news, asked_at),
-            Err(_) => timer::sleep(retry_interval(&vm)).await,
+            Err(_) => timer::sleep(reader::retry_in(failed, vm.reads_store())).await,
         }
         let known_at = || match vm.wants_table.load(atomic::Ordering::Acquire) {
             true => None,
@@ -75,12 +65,6 @@
     }
 }
 
-/// Returns how long until the store is asked again after it did not answer: soon by the machine
-/// that reads it for others, which the others then hear from.
-fn retry_interval(vm: &vm::Vm) -> time::Duration {
-    if vm.reads_store() { RETRY_INTERVAL } else { RETRY_INTERVAL_OTHERS }
-}
-
 /// Returns how long until the store is asked for the configuration again.
 ///
 /// Keys need a newer word than the configuration where they have to stop working sooner.
@@ -88,18 +72,19 @@
     let settings = vm.settings();
     let apply_max = settings.settings.apply_max.duration();
     let withdrawal_max = settings.settings.withdrawal_max.map_or(apply_max, |max| max.duration());
-    (apply_max.min(withdrawal_max) / CONFIGURATION_PART).min(INTERVAL_MAX)
+    (apply_max.min(withdrawal_max) / reader::READINGS_IN_BOUND).min(INTERVAL_MAX)
 }
 
-/// Logs when the store stops or begins again to answer.
-fn note_store(vm: &vm::Vm, what: &str, was_answered: &mut bool, error: Option<&registry::Error>) {
+/// Notes whether the store answered, and logs when it stops or begins again to; `failed` counts the
+/// calls in a row that it did not answer.
+fn note_store(vm: &vm::Vm, what: &str, failed: &mut u32, error: Option<&registry::Error>) {
     vm.reaches_store.store(error.is_none(), atomic::Ordering::Release);
     match error {
-        Some(error) if *was_answered => log::warn!("the store does not tell the {what}: {error}"),
-        None if !*was_answered => log::info!("the store tells the {what} again"),
+        Some(error) if *failed == 0 => log::warn!("the store does not tell the {what}: {error}"),
+        None if *failed > 0 => log::info!("the store tells the {what} again"),
         _ => (),
     }
-    *was_answered = error.is_none();
+    *failed = if error.is_none() { 0 } else { failed.saturating_add(1) };
 }
 
 /// Puts a newer table in force; an older one changes nothing.
@@ -147,19 +132,19 @@
     servers: refill::Servers,
 ) {
     let drain_max = vm.settings().settings.drain_max.duration();
-    let interval = (drain_max / SERVERS_PART).min(INTERVAL_MAX);
-    let mut was_answered = true;
+    let interval = (drain_max / reader::READINGS_IN_BOUND).min(INTERVAL_MAX);
+    let mut failed = 0;
     loop {
         let asked_at = clock::now();
         let answered = registry.servers().await;
         vm.counters.count_store_call("servers", answered.is_ok());
-        note_store(&vm, "backend servers", &mut was_answered, answered.as_ref().err());
+        note_store(&vm, "backend servers", &mut failed, answered.as_ref().err());
         match answered {
             Ok(listed) => {
                 vm.note_store_answered();
                 hear_servers(&vm, &servers, asked_at, None, listed);
                 if vm.reads_store() && servers.lock().failed_at(clock::now()).is_some() {
-                    timer::sleep(RETRY_INTERVAL).await;
+                    timer::sleep(UNSETTLED_INTERVAL).await;
                     continue;
                 }
             }
@@ -167,7 +152,7 @@
                 servers.lock().store_failed(asked_at);
                 vm.copies.note_failed(asked_at);
                 vm.note_store_failed();
-                timer::sleep(retry_interval(&vm)).await;
+                timer::sleep(reader::retry_in(failed, vm.reads_store())).await;
             }
         }
         own_reading(&vm, interval, || vm.copies.servers_at()).await;
@@ -215,18 +200,18 @@
 
 /// Follows the members of the fleet; never returns.
 pub async fn members<R: registry::Registry>(vm: vm::Shared, registry: sync::Arc<R>) {
-    let mut was_answered = true;
+    let mut failed = 0;
     loop {
         let asked_at = clock::now();
         let answered = registry.members().await;
         vm.counters.count_store_call("members", answered.is_ok());
-        note_store(&vm, "members", &mut was_answered, answered.as_ref().err());
+        note_store(&vm, "members", &mut failed, answered.as_ref().err());
         match answered {
             Ok(reading) => {
                 hear_members(&vm, asked_at, reading);
                 peers::beat(&vm);
             }
-            Err(_) => timer::sleep(retry_interval(&vm)).await,
+            Err(_) => timer::sleep(reader::retry_in(failed, vm.reads_store())).await,
         }
         own_reading(&vm, members_interval(&vm), || vm.copies.members_at()).await;
     }
