fix(contract): report exhaustion only where the base part says so

A floor part without tokens says nothing about the rest of the contract, and a grant that arrives after its validity says that the token was there. Both were told to the caller as 429, 'the organisation has used up its rate and burst'. They are Unreachable now, 503 and not run.

Both new tests failed before the change (left Exhausted, right Unreachable).

--- a/crates/waxwing-contract/src/borrower.rs
+++ b/crates/waxwing-contract/src/borrower.rs
@@ -31,7 +31,8 @@
         retry_after_ms: units_time::Millis,
     },
     /// No holder responded in time, or those that did declined for another reason than a lack of
-    /// tokens; also the result after a stall of this machine.
+    /// tokens; or only the floor part responded and has no tokens, which says nothing about the rest
+    /// of the contract. Also the result after a stall of this machine.
     Unreachable,
 }
 
@@ -260,7 +261,7 @@
             Some(ticket) if tokens.0 > 0 => {
                 self.start_request(now, ticket, grant, start_after, effects);
             }
-            Some(ticket) => effects.decided.push((ticket, refused_exhausted())),
+            Some(ticket) => effects.decided.push((ticket, Decision::Refused(Refusal::Unreachable))),
             None if tokens.0 > 0 => self.cached_grants.push(grant),
             None => (),
         }
@@ -298,7 +299,7 @@
             return;
         }
         if now >= grant.valid_until {
-            effects.decided.push((ticket, refused_exhausted()));
+            effects.decided.push((ticket, Decision::Refused(Refusal::Unreachable)));
             return;
         }
         grant.unspent.0 -= 1;
@@ -344,7 +345,11 @@
         };
         match denial {
             message::Denial::Exhausted { retry_after_ms } => {
-                let refusal = Refusal::Exhausted { retry_after_ms };
+                let refusal = match request.part {
+                    message::PartName::Base => Refusal::Exhausted { retry_after_ms },
+                    // The rest of the contract may have tokens, but its holder does not respond.
+                    message::PartName::Floor(_) => Refusal::Unreachable,
+                };
                 effects.decided.push((ticket, Decision::Refused(refusal)));
             }
             message::Denial::Starting | message::Denial::Lent | message::Denial::NotHolder => {
@@ -531,7 +536,3 @@
     let (failure_domain, vm) = targets.floor.clone()?;
     Some((message::PartName::Floor(failure_domain), vm))
 }
-
-fn refused_exhausted() -> Decision {
-    Decision::Refused(Refusal::Exhausted { retry_after_ms: units_time::Millis(0) })
-}
--- a/crates/waxwing-contract/tests/contract/account.rs
+++ b/crates/waxwing-contract/tests/contract/account.rs
@@ -232,3 +232,54 @@
     let later = account.charge(at_ms(1_000), WAIT, &mut out);
     assert_eq!(later, borrower::Charge::Decided(borrower::Decision::Admitted));
 }
+
+#[test]
+fn a_grant_that_arrives_after_its_validity_does_not_count_as_exhaustion() {
+    let (mut account, mut out, nonce) = account_with_token_request();
+    account.receive(at_ms(650), grant(nonce, 1, 1), &mut out);
+    let refused = borrower::Decision::Refused(borrower::Refusal::Unreachable);
+    assert_eq!(out.decided.pop().expect("a decision").1, refused);
+}
+
+/// Returns an account on vm-b whose base part, on vm-a, does not respond, so that its request went
+/// to the floor part on vm-c; and the nonce of that request.
+fn account_that_fell_back_to_floor() -> (account::Account, borrower::Outbox, id::Nonce) {
+    let spread =
+        contract::Spread::Floors { failure_domains: vec![domain("far")], floor_permille: 250 };
+    let contract = contract::Contract { spread, ..contract() };
+    let options = options::Options::default();
+    let mut account =
+        account::Account::new(options, peer("vm-b"), domain("far"), contract, at_ms(0));
+    let mut out = borrower::Outbox::default();
+    let floors = vec![(domain("far"), vm("vm-c"))];
+    let holders = account::Holders { base: Some(vm("vm-a")), floors };
+    account.set_holders(at_ms(0), at_ms(0), holders, &mut out);
+    let wait = time::Duration::from_millis(500);
+    assert!(matches!(account.charge(at_ms(0), wait, &mut out), borrower::Charge::Waiting(_)));
+    account.tick(at_ms(110), &mut out);
+    account.tick(at_ms(220), &mut out);
+    let sent = out.outgoing.pop().expect("a request to the floor part");
+    assert_eq!(sent.to, vm("vm-c"));
+    let message::Body::Ask { nonce, .. } = sent.message.body else {
+        panic!("not a request: {:?}", sent.message.body);
+    };
+    (account, out, nonce)
+}
+
+#[test]
+fn a_floor_part_without_tokens_does_not_exhaust_a_contract_whose_base_part_is_silent() {
+    let (mut account, mut out, nonce) = account_that_fell_back_to_floor();
+    let denial = message::Message {
+        organisation: contract().organisation,
+        from: peer("vm-c"),
+        answers: Some(id::Incarnation(1)),
+        body: message::Body::Deny {
+            part: message::PartName::Floor(domain("far")),
+            nonce,
+            denial: message::Denial::Exhausted { retry_after_ms: units_time::Millis(40) },
+        },
+    };
+    account.receive(at_ms(230), denial, &mut out);
+    let refused = borrower::Decision::Refused(borrower::Refusal::Unreachable);
+    assert_eq!(out.decided.pop().expect("a decision").1, refused);
+}
