fix(contract): a new floor holder lends its part once granted tokens have expired

A new holder of a floor part lent nothing for the 3 s after which a lease of its predecessor has expired. A new lease replaces the predecessor's at the base part's holder, so only tokens that the predecessor granted itself stand in the way, and these are valid for 0.6 s. The part is used by its holder itself after 3 s, as before.

--- a/crates/waxwing-contract/src/floor.rs
+++ b/crates/waxwing-contract/src/floor.rs
@@ -13,7 +13,10 @@
 #[derive(Debug, Clone)]
 enum State {
     /// Nobody, until all leases that the predecessor may have granted have expired.
-    AwaitingExpiry { until: units_time::MonoInstant },
+    ///
+    /// The part may be lent from `lendable_from` on, when all tokens that the predecessor granted
+    /// have expired: a new lease replaces that of the predecessor.
+    AwaitingExpiry { lendable_from: units_time::MonoInstant, until: units_time::MonoInstant },
     /// This machine, for its own failure domain.
     ///
     /// After a lease request that outstanding grants prevent, nothing new is granted before
@@ -41,7 +44,10 @@
         failure_domain: id::FailureDomainId,
         part: contract::RateLimit,
     ) -> Self {
-        let state = State::AwaitingExpiry { until: now.after(options.lender_lease_validity()) };
+        let state = State::AwaitingExpiry {
+            lendable_from: now.after(options.holder_grant_validity()),
+            until: now.after(options.lender_lease_validity()),
+        };
         Self { options, failure_domain, part, state }
     }
 
@@ -66,7 +72,7 @@
     /// Takes the part back if the lease has expired.
     pub fn advance(&mut self, now: units_time::MonoInstant) {
         let ended_at = match &self.state {
-            State::AwaitingExpiry { until } | State::Lent { until } => *until,
+            State::AwaitingExpiry { until, .. } | State::Lent { until } => *until,
             State::Active { .. } => return,
         };
         if now >= ended_at {
@@ -109,14 +115,15 @@
 
     /// Lends the part to the holder of the base part, or renews the lease.
     ///
-    /// Returns `None` while grants of this part are outstanding. A lease to an earlier holder of
+    /// Returns `None` while grants of this part are outstanding, also those of the predecessor. A
+    /// lease to an earlier holder of
     /// the base part is no obstacle: only the one holder of the base part's seat requests leases,
     /// and a holder that lost the seat has already stopped counting its leases.
     pub fn lend(&mut self, now: units_time::MonoInstant) -> Option<contract::RateLimit> {
         self.advance(now);
         match &mut self.state {
-            State::AwaitingExpiry { .. } => return None,
-            State::Lent { .. } => (),
+            State::AwaitingExpiry { lendable_from, .. } if now < *lendable_from => return None,
+            State::AwaitingExpiry { .. } | State::Lent { .. } => (),
             State::Active { holder, grants_resume_at } => {
                 holder.advance(now);
                 if holder.has_outstanding() {
