feat(zone): requests with small bodies stay in their region as far as its slots go

Homes of objects were chosen with twice the weight for servers of the region, whatever its slots: a region with 18 of 42 slots and a third of the requests still sent 40% of them away. Callers of a region mostly ask for objects of their own, so that costs the round trip and bytes and warms nothing. The weights now come from the slots of all regions, as those of large bodies do from the failure domains'.

--- a/crates/waxwing-vm/src/reconcile.rs
+++ b/crates/waxwing-vm/src/reconcile.rs
@@ -22,9 +22,8 @@
 /// How often contract shares and the owners of servers are recomputed.
 const RECONCILE_INTERVAL: time::Duration = time::Duration::from_millis(200);
 
-/// The weight per slot of a server in this VM's region, against 1 for servers elsewhere, in the
-/// choice of homes for objects with small request bodies.
-const LOCAL_SLOT_WEIGHT: u32 = 2;
+/// The slot weight of a failure domain that the settings do not list.
+const LEAST_SLOT_WEIGHT: u32 = 1;
 
 /// The known backend servers, shared by the tasks that update them.
 pub type SharedServerSet = sync::Arc<Mutex<server_set::ServerSet>>;
@@ -62,8 +61,7 @@
     };
     let owns = |server: &id::BackendServerId| owner(server, &live) == Some(&vm.info.vm);
     let settings = vm.settings();
-    let (options, local_region) =
-        (settings.placement(), settings.region_of(&vm.info.failure_domain));
+    let options = settings.placement();
     let server_set = servers.lock();
     for service in table.services() {
         let known: Vec<&server_set::KnownServer> = server_set
@@ -71,20 +69,14 @@
             .iter()
             .filter(|known| known.registration.service == service.service)
             .collect();
-        let weights = locality::domain_weights(
-            &domain_loads(vm, &known, &configuration.evacuated),
-            &vm.info.failure_domain,
-        );
+        let loads = domain_loads(vm, &known, &configuration.evacuated);
+        let own = &vm.info.failure_domain;
+        let weights = |preference| locality::domain_weights(&loads, own, preference);
+        let small = weights(locality::Preference::Region);
+        let large = weights(locality::Preference::FailureDomain);
         let slot_weight = |domain: &id::FailureDomainId| placement::SlotWeight {
-            small_bodies: if settings.region_of(domain) == local_region {
-                LOCAL_SLOT_WEIGHT
-            } else {
-                1
-            },
-            large_bodies: weights
-                .iter()
-                .find(|weight| weight.failure_domain == *domain)
-                .map_or(1, |weight| weight.slot_weight),
+            small_bodies: weight_of(&small, domain),
+            large_bodies: weight_of(&large, domain),
         };
         let context = placement::Context {
             evacuated: &configuration.evacuated,
@@ -97,6 +89,12 @@
     }
 }
 
+/// Returns the weight of a failure domain in `weights`; the least one if it is not listed.
+fn weight_of(weights: &[locality::DomainWeight], domain: &id::FailureDomainId) -> u32 {
+    let found = weights.iter().find(|weight| weight.failure_domain == *domain);
+    found.map_or(LEAST_SLOT_WEIGHT, |weight| weight.slot_weight)
+}
+
 /// Returns the slots and the demand of all failure domains for one service, whose servers are
 /// `known`.
 fn domain_loads(
--- a/crates/waxwing-zone/src/locality.rs
+++ b/crates/waxwing-zone/src/locality.rs
@@ -1,8 +1,8 @@
 //! Distribution of the requests of each failure domain over the backend servers of all of them.
 //!
-//! Requests stay in their failure domain as far as its own servers have capacity, since traffic
-//! between failure domains costs time and money. The rest goes to spare capacity in the same
-//! region, and then in other regions. All quantities are shares: a failure domain with a tenth of
+//! Requests stay near as far as the servers there have capacity, since traffic between failure
+//! domains and regions costs time and money. [`Preference`] says how near. What does not fit goes
+//! to spare capacity farther away. All quantities are shares: a failure domain with a tenth of
 //! all slots has capacity for about a tenth of all requests, however many those are.
 
 use waxwing_units::id;
@@ -16,6 +16,19 @@
 /// Slot weight of a failure domain that receives requests in proportion to its slots.
 pub const EVEN_SLOT_WEIGHT: u64 = 1_000;
 
+/// How near to the caller a request should run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Preference {
+    /// In the caller's failure domain, then in its region: for requests with large bodies.
+    FailureDomain,
+    /// Anywhere in the caller's region, so that all entry VMs of a region agree on the servers of
+    /// an object and each object is cold once in a region.
+    ///
+    /// The demand of all failure domains counts as equal: with the true one, which changes all the
+    /// time, objects would move to servers where they are cold.
+    Region,
+}
+
 /// A failure domain with its slots for one service and its demand.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DomainLoad {
@@ -48,9 +61,14 @@
 
 /// Returns the slot weights of `domains` for requests that arrive in failure domain `own`, in the
 /// same order.
-pub fn domain_weights(domains: &[DomainLoad], own: &id::FailureDomainId) -> Vec<DomainWeight> {
+pub fn domain_weights(
+    domains: &[DomainLoad],
+    own: &id::FailureDomainId,
+    preference: Preference,
+) -> Vec<DomainWeight> {
     let from = domains.iter().position(|domain| domain.failure_domain == *own);
-    let sent = from.map_or_else(|| vec![0; domains.len()], |from| sent_from(domains, from));
+    let sent =
+        from.map_or_else(|| vec![0; domains.len()], |from| sent_from(domains, from, preference));
     let slots: u64 = domains.iter().map(|domain| domain.slots).sum();
     let sent_total: u64 = sent.iter().sum();
     let weight = |domain: &DomainLoad, sent: u64| {
@@ -69,19 +87,18 @@
 }
 
 /// Returns what failure domain `from` sends to each one, in millionths of all requests.
-fn sent_from(domains: &[DomainLoad], from: usize) -> Vec<u64> {
+fn sent_from(domains: &[DomainLoad], from: usize, preference: Preference) -> Vec<u64> {
     let slots: Vec<u64> = domains.iter().map(|domain| domain.slots).collect();
-    let demand: Vec<u64> = domains.iter().map(|domain| domain.demand).collect();
+    let demand: Vec<u64> = match preference {
+        Preference::FailureDomain => domains.iter().map(|domain| domain.demand).collect(),
+        Preference::Region => vec![1; domains.len()],
+    };
     let capacity = shares(&slots).into_iter().map(|share| share * CAPACITY_PERCENT / 100).collect();
     let mut unassigned = Unassigned { capacity, demand: shares(&demand) };
     let mut sent = vec![0; domains.len()];
-    sent[from] = unassigned.capacity[from].min(unassigned.demand[from]);
-    for (domain_capacity, domain_demand) in
-        unassigned.capacity.iter_mut().zip(&mut unassigned.demand)
-    {
-        let local = (*domain_capacity).min(*domain_demand);
-        *domain_capacity -= local;
-        *domain_demand -= local;
+    match preference {
+        Preference::FailureDomain => sent[from] = unassigned.assign_locally(from),
+        Preference::Region => (),
     }
     let regions = domains.iter().map(|domain| &domain.region);
     let mut regions: Vec<&id::RegionId> = regions.collect();
@@ -104,6 +121,18 @@
 }
 
 impl Unassigned {
+    /// Assigns the demand of each failure domain to its own capacity; returns what failure domain
+    /// `from` keeps.
+    fn assign_locally(&mut self, from: usize) -> u64 {
+        let kept = self.capacity[from].min(self.demand[from]);
+        for (capacity, demand) in self.capacity.iter_mut().zip(&mut self.demand) {
+            let local = (*capacity).min(*demand);
+            *capacity -= local;
+            *demand -= local;
+        }
+        kept
+    }
+
     /// Assigns the demand of some failure domains to their spare capacity, both in proportion.
     fn assign(&mut self, from: usize, sent: &mut [u64], is_in: impl Fn(usize) -> bool) {
         let members: Vec<usize> = (0..self.capacity.len()).filter(|at| is_in(*at)).collect();
--- a/crates/waxwing-zone/tests/zone/locality.rs
+++ b/crates/waxwing-zone/tests/zone/locality.rs
@@ -12,10 +12,19 @@
     }
 }
 
-/// Returns what failure domain `own` sends to each one, in percent of all that it sends.
+/// Returns what failure domain `own` sends to each one if requests should stay in it, in percent of
+/// all that it sends.
 fn sent(domains: &[locality::DomainLoad], own: &str) -> Vec<u64> {
+    sent_by(domains, own, locality::Preference::FailureDomain)
+}
+
+fn sent_by(
+    domains: &[locality::DomainLoad],
+    own: &str,
+    preference: locality::Preference,
+) -> Vec<u64> {
     let own: id::FailureDomainId = own.parse().expect("a valid name");
-    let slot_weights = locality::domain_weights(domains, &own);
+    let slot_weights = locality::domain_weights(domains, &own, preference);
     let weights: Vec<u64> = domains
         .iter()
         .zip(&slot_weights)
@@ -57,15 +66,53 @@
     assert_eq!(sent(&domains, "a"), [0, 60, 40]);
     let without_demand = domains.map(|domain| locality::DomainLoad { demand: 0, ..domain });
     assert_eq!(sent(&without_demand, "b"), [0, 100, 0]);
-    assert!(locality::domain_weights(&[], &"a".parse().expect("a valid name")).is_empty());
+    assert!(
+        locality::domain_weights(
+            &[],
+            &"a".parse().expect("a valid name"),
+            locality::Preference::Region
+        )
+        .is_empty()
+    );
     let unlisted: id::FailureDomainId = "z".parse().expect("a valid name");
     assert!(
-        locality::domain_weights(&without_demand, &unlisted)
+        locality::domain_weights(&without_demand, &unlisted, locality::Preference::FailureDomain)
             .iter()
             .all(|weight| weight.slot_weight >= 1)
     );
 }
 
+#[test]
+fn all_failure_domains_of_a_region_agree_on_servers_and_stay_in_it_within_its_capacity() {
+    let by_region = |domains: &[locality::DomainLoad], own: &str| {
+        sent_by(domains, own, locality::Preference::Region)
+    };
+    let domains = [domain("a", "x", 30, 10), domain("b", "x", 30, 90), domain("c", "y", 30, 10)];
+    assert_eq!(by_region(&domains, "a"), [50, 50, 0]);
+    assert_eq!(by_region(&domains, "b"), [50, 50, 0]);
+    assert_eq!(by_region(&domains, "c"), [0, 0, 100]);
+    // Region y has a tenth of the slots, capacity for 12 % of all requests, and a third of them.
+    let small = [domain("a", "x", 45, 1), domain("b", "x", 45, 1), domain("c", "y", 10, 1)];
+    assert_eq!(by_region(&small, "a"), [50, 50, 0]);
+    assert_eq!(by_region(&small, "c"), [32, 32, 36]);
+}
+
+#[test]
+fn demand_that_changes_moves_no_object_to_another_region() {
+    let quiet = [domain("a", "x", 45, 5), domain("b", "x", 45, 5), domain("c", "y", 10, 5)];
+    for demand in [0, 50, 5_000] {
+        let busy = quiet.clone().map(|load| match load.failure_domain.as_str() {
+            "c" => locality::DomainLoad { demand, ..load },
+            _ => load,
+        });
+        let weights = |domains: &[locality::DomainLoad]| {
+            let own = "c".parse().expect("a valid name");
+            locality::domain_weights(domains, &own, locality::Preference::Region)
+        };
+        assert_eq!(weights(&busy), weights(&quiet), "demand {demand}");
+    }
+}
+
 /// Whatever the slots and demand, no failure domain receives more than its capacity.
 #[test]
 fn no_failure_domain_receives_more_than_its_share_of_slots_and_a_fifth() {
