feat(machine): the directory names the machines whose links carry most together

Callers use the named machines in equal parts. In grown deployments two machines of a failure domain have 200 Mbit/s and two or three 10 Mbit/s: a narrow one gets as much as a wide one, its queue reaches 0.7 s, requests take 600 to 800 ms in the median beside 200 ms on its neighbour, and its calls to the store time out.

A machine reports its link (setting link_bandwidth) in a datagram of its own beside heartbeats, so that older releases drop that one only. The directory names the set whose narrowest link times its size is largest; a machine without a report counts as the widest.

--- a/crates/waxwing-keeper/src/peers.rs
+++ b/crates/waxwing-keeper/src/peers.rs
@@ -39,7 +39,10 @@
             keeper.accounts.receive(clock::now(), message, &mut out);
             keeper.dispatch(out);
         }
-        peer::Body::MemberHeartbeat(_) | peer::Body::LoanRequest(_) | peer::Body::Loan(_) => {
+        peer::Body::MemberHeartbeat(_)
+        | peer::Body::LoanRequest(_)
+        | peer::Body::Loan(_)
+        | peer::Body::MemberLink(_) => {
             log::debug!("dropped a datagram of a waxwing-vm machine");
             keeper.count_malformed();
         }
--- a/crates/waxwing-machine/src/lib.rs
+++ b/crates/waxwing-machine/src/lib.rs
@@ -16,12 +16,14 @@
 //! * [`membership`]: fleet membership by the store, and when a machine may hold shares.
 //! * [`server_registration`]: registration of a backend server in the store.
 //! * [`server_list`]: versioned list of all registered backend servers, for replication by changes.
+//! * [`entry_choice`]: the entry VMs that a directory names to callers, by their links.
 //! * [`store_reader`]: election of the machine that reads the store for its region.
 //! * [`server_set`]: the backend servers in use, through outages of the store.
 //! * [`placement`]: choice among all backend servers of a service by object affinity.
 //! * [`server_health`]: health and load of one backend server, by the outcomes of requests.
 
 pub mod backend_server;
+pub mod entry_choice;
 pub mod entry_vm;
 pub mod fleet;
 pub mod membership;
--- a/crates/waxwing-machine/src/membership.rs
+++ b/crates/waxwing-machine/src/membership.rs
@@ -10,6 +10,7 @@
 use std::time;
 
 use serde::{Deserialize, Serialize};
+use waxwing_units::bandwidth;
 use waxwing_units::id;
 use waxwing_units::time as units_time;
 
@@ -86,6 +87,8 @@
 struct ReceivedHeartbeat {
     heartbeat: Heartbeat,
     received_at: units_time::MonoInstant,
+    /// The bandwidth of the machine's link; `None` until it has reported one.
+    link_bandwidth: Option<bandwidth::Bandwidth>,
 }
 
 /// One machine's view of the fleet, with its own registration.
@@ -144,24 +147,41 @@
         if heartbeat.about.vm == self.local_vm {
             return false;
         }
-        let found = self
-            .heartbeats
-            .binary_search_by(|received| received.heartbeat.about.vm.cmp(&heartbeat.about.vm));
-        match found {
+        match self.find(&heartbeat.about.vm) {
             Ok(at) => {
                 let received = &mut self.heartbeats[at];
                 let is_new =
                     !received.is_reachable(now) || received.heartbeat.phase != heartbeat.phase;
-                *received = ReceivedHeartbeat { heartbeat, received_at: now };
+                received.heartbeat = heartbeat;
+                received.received_at = now;
                 is_new
             }
             Err(at) => {
-                self.heartbeats.insert(at, ReceivedHeartbeat { heartbeat, received_at: now });
+                let received =
+                    ReceivedHeartbeat { heartbeat, received_at: now, link_bandwidth: None };
+                self.heartbeats.insert(at, received);
                 true
             }
         }
     }
 
+    fn find(&self, vm: &id::VmId) -> Result<usize, usize> {
+        self.heartbeats.binary_search_by(|received| received.heartbeat.about.vm.cmp(vm))
+    }
+
+    /// Stores the bandwidth of another machine's link; that of a machine without a heartbeat is
+    /// ignored.
+    pub fn record_link_bandwidth(&mut self, vm: &id::VmId, bandwidth: bandwidth::Bandwidth) {
+        if let Ok(at) = self.find(vm) {
+            self.heartbeats[at].link_bandwidth = Some(bandwidth);
+        }
+    }
+
+    /// Returns the bandwidth of another machine's link; `None` if it has not reported one.
+    pub fn link_bandwidth(&self, vm: &id::VmId) -> Option<bandwidth::Bandwidth> {
+        self.heartbeats[self.find(vm).ok()?].link_bandwidth
+    }
+
     /// Admits this machine if all other members have read its name; returns whether that is new.
     pub fn update_admission(&mut self) -> bool {
         let is_admitted = self.registration.is_some_and(|own| self.is_known_to_all(own.created));
@@ -187,11 +207,7 @@
     }
 
     fn peer_revision(&self, vm: &id::VmId) -> Option<id::Revision> {
-        let at = self
-            .heartbeats
-            .binary_search_by(|received| received.heartbeat.about.vm.cmp(vm))
-            .ok()?;
-        Some(self.heartbeats[at].heartbeat.revision)
+        Some(self.heartbeats[self.find(vm).ok()?].heartbeat.revision)
     }
 
     /// Returns the members that share contracts; `None` while this machine may not hold shares.
--- a/crates/waxwing-machine/tests/machine/main.rs
+++ b/crates/waxwing-machine/tests/machine/main.rs
@@ -1,6 +1,7 @@
 //! Tests of entry VMs and backend servers, with a module for each tested module of the crate.
 
 mod backend_server;
+mod entry_choice;
 mod fleet;
 mod membership;
 mod placement;
--- a/crates/waxwing-machine/tests/machine/membership.rs
+++ b/crates/waxwing-machine/tests/machine/membership.rs
@@ -5,6 +5,7 @@
 use rand::{Rng, SeedableRng};
 use waxwing_machine::entry_vm;
 use waxwing_machine::membership;
+use waxwing_units::bandwidth;
 use waxwing_units::id;
 use waxwing_units::time as units_time;
 
@@ -204,3 +205,16 @@
         }
     }
 }
+
+#[test]
+fn the_link_of_a_machine_is_known_from_its_report_and_outlives_its_heartbeats() {
+    let mut membership = membership_of("a");
+    let peer = info("b").vm;
+    let link = bandwidth::Bandwidth(200_000);
+    membership.record_link_bandwidth(&peer, link);
+    assert_eq!(membership.link_bandwidth(&peer), None, "no heartbeat of that machine yet");
+    membership.record_heartbeat(at_ms(0), heartbeat("b", 1));
+    membership.record_link_bandwidth(&peer, link);
+    membership.record_heartbeat(at_ms(400), heartbeat("b", 2));
+    assert_eq!(membership.link_bandwidth(&peer), Some(link));
+}
--- a/crates/waxwing-protocol/src/peer.rs
+++ b/crates/waxwing-protocol/src/peer.rs
@@ -9,6 +9,7 @@
 use waxwing_machine::fleet;
 use waxwing_machine::membership;
 use waxwing_timeline::stamp;
+use waxwing_units::bandwidth;
 use waxwing_units::id;
 use waxwing_units::rate;
 
@@ -54,6 +55,8 @@
     LoanRequest(LoanRequest),
     /// The response to a loan request.
     Loan(Loan),
+    /// The bandwidth of the sender's link, beside a `waxwing-vm` machine's heartbeats.
+    MemberLink(bandwidth::Bandwidth),
 }
 
 /// Requests a loan of tokens.
--- a/crates/waxwing-units/src/lib.rs
+++ b/crates/waxwing-units/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! All other crates of the workspace use these types:
 //!
+//! * [`bandwidth`]: bandwidths of network links.
 //! * [`id`]: names and numbers that identify objects, such as organisations and requests.
 //! * [`prefix`]: blocks of IP addresses.
 //! * [`rate`]: token rates and token amounts of a rate limit.
@@ -11,6 +12,7 @@
 //! * [`digest`]: the digest by which a caller's key is stored and compared.
 //! * [`rendezvous`]: rendezvous hashing, which places objects on machines.
 
+pub mod bandwidth;
 pub mod digest;
 pub mod id;
 pub mod prefix;
--- a/crates/waxwing-vm/src/directory.rs
+++ b/crates/waxwing-vm/src/directory.rs
@@ -3,6 +3,7 @@
 use std::net;
 
 use ntex::web;
+use waxwing_machine::entry_choice;
 use waxwing_machine::entry_vm;
 use waxwing_machine::membership;
 use waxwing_process::clock;
@@ -40,7 +41,7 @@
 }
 
 /// Returns the entry VMs for a caller: those of its failure domain, or else of its region, or else
-/// all.
+/// all; of these, the ones that [`entry_choice`] names.
 fn addresses(vm: &vm::Vm, query: &http_adapter::DirectoryQuery) -> Vec<net::SocketAddr> {
     let settings = vm.settings();
     let membership = vm.membership.lock();
@@ -63,8 +64,15 @@
     let regional: Vec<&membership::MachineInfo> =
         usable.iter().filter(in_region).copied().collect();
     let chosen = [near, regional, usable].into_iter().find(|candidates| !candidates.is_empty());
-    let mut addresses: Vec<net::SocketAddr> =
-        chosen.unwrap_or_default().into_iter().map(|peer| peer.entry_address).collect();
+    let candidate = |machine: &membership::MachineInfo| entry_choice::Candidate {
+        vm: machine.entry_address,
+        link_bandwidth: match machine.vm == vm.info.vm {
+            true => settings.settings.link_bandwidth,
+            false => membership.link_bandwidth(&machine.vm),
+        },
+    };
+    let candidates = chosen.unwrap_or_default().into_iter().map(candidate).collect();
+    let mut addresses = entry_choice::choose(candidates);
     addresses.truncate(ADDRESSES_MAX);
     addresses
 }
--- a/crates/waxwing-vm/src/peers.rs
+++ b/crates/waxwing-vm/src/peers.rs
@@ -14,6 +14,9 @@
 /// How often heartbeats are sent.
 const HEARTBEAT_INTERVAL: time::Duration = time::Duration::from_millis(400);
 
+/// The number of heartbeats for each report of the link's bandwidth, which seldom changes.
+const HEARTBEATS_PER_LINK_REPORT: u64 = 5;
+
 /// Bytes of the receive buffer; a longer datagram is truncated and can't be decoded.
 const BUFFER_LEN_BYTES: usize = 2 * peer::DATAGRAM_MAX_BYTES;
 
@@ -44,6 +47,9 @@
                 peer::Loan { nonce: request.nonce, organisation: request.organisation, amount };
             send(vm, from, peer::Body::Loan(loan));
         }
+        peer::Body::MemberLink(bandwidth) => {
+            vm.membership.lock().record_link_bandwidth(&datagram.from.vm, bandwidth);
+        }
         peer::Body::Loan(loan) => vm.contracts.receive_loan(&datagram.from.vm, &loan),
         peer::Body::Heartbeat(_) | peer::Body::Contract(_) => {
             log::debug!("dropped a datagram that is meant for a keeper");
@@ -60,12 +66,26 @@
 
 /// Sends heartbeats at a fixed interval; never returns.
 pub fn run_heartbeats(vm: &vm::Vm) {
-    loop {
+    for round in 0_u64.. {
         send_heartbeats(vm);
+        if round.is_multiple_of(HEARTBEATS_PER_LINK_REPORT) {
+            send_link_bandwidth(vm);
+        }
         thread::sleep(HEARTBEAT_INTERVAL);
     }
 }
 
+/// Sends the bandwidth of this VM's link, if the settings have it, to where heartbeats are sent.
+fn send_link_bandwidth(vm: &vm::Vm) {
+    let Some(bandwidth) = vm.settings().settings.link_bandwidth else {
+        return;
+    };
+    let targets = vm.membership.lock().heartbeat_targets(clock::now());
+    for target in targets {
+        send(vm, target, peer::Body::MemberLink(bandwidth));
+    }
+}
+
 /// Sends one heartbeat to each member and to each VM that sent one lately.
 pub fn send_heartbeats(vm: &vm::Vm) {
     let (targets, revision) = {
--- a/crates/waxwing-vm/src/settings.rs
+++ b/crates/waxwing-vm/src/settings.rs
@@ -7,6 +7,7 @@
 use serde_with::serde_as;
 use waxwing_machine::placement;
 use waxwing_process::settings;
+use waxwing_units::bandwidth;
 use waxwing_units::id;
 use waxwing_units::rate;
 use waxwing_units::ratio;
@@ -52,6 +53,10 @@
     /// The memory that the process may use.
     #[serde_as(as = "DisplayFromStr")]
     pub memory_max: size::Bytes,
+    /// The bandwidth of this VM's link, by which directories choose among VMs; without it the link
+    /// counts as the widest.
+    #[serde_as(as = "Option<DisplayFromStr>")]
+    pub link_bandwidth: Option<bandwidth::Bandwidth>,
     /// How long a withdrawn key may still be accepted; unlimited without it.
     #[serde_as(as = "Option<DisplayFromStr>")]
     pub withdrawal_max: Option<units_time::Millis>,
@@ -98,6 +103,7 @@
             admin_address: None,
             workers: 1,
             memory_max: size::Bytes(256 * 1024 * 1024),
+            link_bandwidth: None,
             withdrawal_max: None,
             apply_max: units_time::Millis(2_500),
             drain_max: units_time::Millis(2_500),
