--- a/crates/waxwing-machine/src/placement.rs
+++ b/crates/waxwing-machine/src/placement.rs
@@ -316,7 +316,7 @@
 
     /// Returns the load of the server, in thousandths of its slots.
     fn load_permille(&self, now: units_time::MonoInstant) -> u32 {
-        self.health.load(now) * 1_000 / self.known.registration.slots.max(1)
+        self.health.load(now).saturating_mul(1_000) / self.known.registration.slots.max(1)
     }
 
     fn start_request(
--- a/crates/waxwing-machine/src/server_health.rs
+++ b/crates/waxwing-machine/src/server_health.rs
@@ -75,7 +75,7 @@
     /// is recent.
     pub fn load(&self, now: units_time::MonoInstant) -> u32 {
         let report = self.report.filter(|report| now.since(report.reported_at) < REPORT_VALIDITY);
-        self.in_flight + report.map_or(0, |report| report.load_of_others)
+        self.in_flight.saturating_add(report.map_or(0, |report| report.load_of_others))
     }
 
     /// Returns whether the server is ejected and receives no requests.
@@ -103,7 +103,8 @@
     ) {
         self.in_flight = self.in_flight.saturating_sub(1);
         if let Some(load) = load {
-            let load_of_others = (load.running + load.waiting).saturating_sub(self.in_flight);
+            let load_of_others =
+                load.running.saturating_add(load.waiting).saturating_sub(self.in_flight);
             self.report = Some(Report { load_of_others, reported_at: now });
         }
         match outcome {
--- a/crates/waxwing-units/src/rate.rs
+++ b/crates/waxwing-units/src/rate.rs
@@ -97,12 +97,12 @@
 
     /// Returns `permille` thousandths of the rate, rounded down.
     pub const fn permille(self, permille: u64) -> Self {
-        Self(self.0 * permille / 1_000)
+        Self(self.0.saturating_mul(permille) / 1_000)
     }
 
     /// Returns the sum of two rates.
     pub const fn plus(self, other: Self) -> Self {
-        Self(self.0 + other.0)
+        Self(self.0.saturating_add(other.0))
     }
 }
 
@@ -158,9 +158,10 @@
 pub struct Tokens(pub u64);
 
 impl Tokens {
-    /// Returns the amount in nanotokens.
+    /// Returns the amount in nanotokens, at most the largest amount.
     pub const fn nano(self) -> NanoTokens {
-        NanoTokens(self.0 as i64 * NANO_PER_TOKEN)
+        let nano = self.0.saturating_mul(NANO_PER_TOKEN.unsigned_abs());
+        NanoTokens(if nano > i64::MAX.unsigned_abs() { i64::MAX } else { nano.cast_signed() })
     }
 }
 
