fix(vm): response bodies share the bounded memory of request bodies

A server may send a body without end. Each response was read up to 16 MiB whatever the others took: 12 at a time grew the process by 123 MiB of a limit of 256 MiB. Request and response bodies now reserve from the same quarter of the limit. A response that does not fit fails as malformed, the caller is told that the request may have run, and the server's health is charged.

Heads without end were bounded before. The accounting has a module of its own.

--- a/crates/waxwing-vm/src/exchange.rs
+++ b/crates/waxwing-vm/src/exchange.rs
@@ -16,7 +16,9 @@
 use waxwing_machine::server_health;
 use waxwing_process::timer;
 use waxwing_request::attempt;
+use waxwing_units::size;
 
+use crate::body_memory;
 use crate::connection_pool;
 use crate::http_adapter;
 
@@ -37,6 +39,8 @@
     pub body: ntex_util::Bytes,
     /// Whether the request may run more than once.
     pub repeatability: attempt::Repeatability,
+    /// The memory for the body of the response.
+    pub response_memory: body_memory::Reservation,
 }
 
 /// A complete response.
@@ -47,6 +51,8 @@
     pub headers: Vec<http_adapter::Header>,
     /// The whole body.
     pub body: ntex_util::Bytes,
+    /// The memory that the body takes.
+    pub memory: body_memory::Reservation,
     /// The adapter's classification of the response.
     pub reading: http_adapter::Reading,
 }
@@ -130,7 +136,7 @@
     lease: &placement::Lease,
     request: Request,
 ) -> Result<Response, Failure> {
-    let response = send(connection, lease, request).await.map_err(|error| {
+    let (response, mut memory) = send(connection, lease, request).await.map_err(|error| {
         log::debug!("no response from {} to {request_id}: {error}", lease.server);
         failure(connection.state(), fault_of(&error, connection.state()))
     })?;
@@ -147,13 +153,18 @@
         return Err(malformed);
     }
     let headers = adapter.response_headers(response.headers());
-    let body = read_body(&response).await.map_err(|error| {
-        log::info!("the response of {} to {request_id} ended early: {error}", lease.server);
-        Failure { fault: attempt::Fault::Disconnected, ..malformed }
+    let body = read_body(&response, &mut memory).await.map_err(|error| {
+        log::info!("the response of {} to {request_id} can't be read: {error}", lease.server);
+        match error {
+            BodyError::TooLarge | BodyError::MemoryFull => malformed,
+            BodyError::EndedEarly(_) => {
+                Failure { fault: attempt::Fault::Disconnected, ..malformed }
+            }
+        }
     })?;
     match reading.verdict {
         http_adapter::Verdict::Answered | http_adapter::Verdict::AnsweredFailure => {
-            Ok(Response { status, headers, body, reading })
+            Ok(Response { status, headers, body, memory, reading })
         }
         http_adapter::Verdict::NotRun | http_adapter::Verdict::OtherServer => Err(Failure {
             state: attempt::State::Sent,
@@ -175,7 +186,7 @@
     connection: &connection_pool::Connection,
     lease: &placement::Lease,
     request: Request,
-) -> Result<client::ClientResponse, client_error::ClientError> {
+) -> Result<(client::ClientResponse, body_memory::Reservation), client_error::ClientError> {
     let url = format!("http://{}{}", lease.address, request.path);
     let has_body = !matches!(request.method, http::Method::GET | http::Method::HEAD)
         || !request.body.is_empty();
@@ -183,10 +194,11 @@
     for (name, value) in request.headers {
         builder = builder.header(name, value);
     }
-    match has_body {
-        true => builder.send_body(body::Body::Bytes(request.body)).await,
-        false => builder.send().await,
-    }
+    let response = match has_body {
+        true => builder.send_body(body::Body::Bytes(request.body)).await?,
+        false => builder.send().await?,
+    };
+    Ok((response, request.response_memory))
 }
 
 fn fault_of(error: &client_error::ClientError, state: attempt::State) -> attempt::Fault {
@@ -208,16 +220,32 @@
         || matches!(response.status().as_u16(), 204 | 304)
 }
 
+/// Why the body of a response can't be read.
+#[derive(Debug, thiserror::Error)]
+enum BodyError {
+    #[error("the body ended early: {0}")]
+    EndedEarly(http::error::PayloadError),
+    #[error("the body has more than {RESPONSE_MAX_BYTES} bytes")]
+    TooLarge,
+    #[error("the bodies in memory take too much")]
+    MemoryFull,
+}
+
 async fn read_body(
     response: &client::ClientResponse,
-) -> Result<ntex_util::Bytes, http::error::PayloadError> {
+    memory: &mut body_memory::Reservation,
+) -> Result<ntex_util::Bytes, BodyError> {
     let mut payload = response.take_payload();
     let mut contents = ntex_util::BytesMut::new();
     while let Some(chunk) = payload.next().await {
-        contents.extend_from_slice(&chunk?);
-        if contents.len() > RESPONSE_MAX_BYTES {
-            return Err(http::error::PayloadError::Overflow);
+        let chunk = chunk.map_err(BodyError::EndedEarly)?;
+        if !memory.grow(size::Bytes(chunk.len() as u64)) {
+            return Err(BodyError::MemoryFull);
+        }
+        if contents.len() + chunk.len() > RESPONSE_MAX_BYTES {
+            return Err(BodyError::TooLarge);
         }
+        contents.extend_from_slice(&chunk);
     }
     Ok(contents.freeze())
 }
--- a/crates/waxwing-vm/src/forward.rs
+++ b/crates/waxwing-vm/src/forward.rs
@@ -274,6 +274,7 @@
         headers: vm.adapter.upstream_headers(&request.headers, &context),
         body: request.body.bytes(),
         repeatability: request.route.repeatability,
+        response_memory: vm.reserve_body_memory(),
     };
     let result =
         exchange::exchange(pool, vm.adapter.as_ref(), &lease, upstream_request, time_left).await;
--- a/crates/waxwing-vm/src/lib.rs
+++ b/crates/waxwing-vm/src/lib.rs
@@ -14,6 +14,7 @@
 //! * [`request_admission`]: reads a request's body, authenticates the caller and charges its
 //!   organisation.
 //! * [`refusal`]: the errors that a caller can get instead of a backend server's response.
+//! * [`body_memory`]: bounds the memory for the bodies of requests and responses.
 //! * [`exchange`]: sends one request to a backend server and reads the response.
 //! * [`connection_pool`]: idle connections to backend servers, for reuse.
 //! * [`service_pools`]: the backend servers of each service, and the retry budgets.
@@ -33,6 +34,7 @@
 pub mod access_log;
 pub mod account;
 pub mod arrival_rate;
+pub mod body_memory;
 pub mod caller_connection;
 pub mod connection_pool;
 pub mod contracts;
--- a/crates/waxwing-vm/src/request_admission.rs
+++ b/crates/waxwing-vm/src/request_admission.rs
@@ -2,7 +2,6 @@
 //! caller and charges its organisation.
 
 use std::sync;
-use std::sync::atomic;
 use std::time;
 
 use futures_util::StreamExt;
@@ -15,9 +14,11 @@
 use waxwing_route::route;
 use waxwing_route::table;
 use waxwing_units::id;
+use waxwing_units::size;
 use waxwing_units::time as units_time;
 
 use crate::access_log;
+use crate::body_memory;
 use crate::contracts;
 use crate::forward;
 use crate::http_adapter;
@@ -73,12 +74,11 @@
     }
 }
 
-/// A request body in memory. Its size counts against the memory limit for bodies until it is
-/// dropped.
+/// A request body in memory.
 pub struct BufferedBody {
-    vm: vm::Shared,
     bytes: ntex_util::Bytes,
-    reserved_bytes: u64,
+    /// The memory that the body takes, returned on drop.
+    _memory: body_memory::Reservation,
 }
 
 impl BufferedBody {
@@ -86,24 +86,6 @@
     pub fn bytes(&self) -> ntex_util::Bytes {
         self.bytes.clone()
     }
-
-    const fn empty(vm: vm::Shared) -> Self {
-        Self { vm, bytes: ntex_util::Bytes::new(), reserved_bytes: 0 }
-    }
-
-    /// Reserves `more_bytes` of the memory for bodies; returns false if they exceed the limit.
-    fn reserve(&mut self, more_bytes: u64) -> bool {
-        let reserved_before =
-            self.vm.buffered_bytes.fetch_add(more_bytes, atomic::Ordering::AcqRel);
-        self.reserved_bytes += more_bytes;
-        reserved_before + more_bytes <= self.vm.buffered_max_bytes()
-    }
-}
-
-impl Drop for BufferedBody {
-    fn drop(&mut self) {
-        self.vm.buffered_bytes.fetch_sub(self.reserved_bytes, atomic::Ordering::AcqRel);
-    }
 }
 
 /// A request with its body, before the checks.
@@ -272,21 +254,20 @@
     mut body: impl stream::Stream<Item = forward::Chunk> + Unpin,
     max_bytes: u64,
 ) -> refusal::Result<BufferedBody> {
-    let mut buffered = BufferedBody::empty(vm.clone());
+    let mut reservation = vm.reserve_body_memory();
     let mut contents = ntex_util::BytesMut::new();
     while let Some(chunk) = body.next().await {
         let chunk = chunk.map_err(|error| {
             log::debug!("a request body ended early: {error}");
             refusal::Refusal::BodyIncomplete
         })?;
-        if !buffered.reserve(chunk.len() as u64) {
+        if !reservation.grow(size::Bytes(chunk.len() as u64)) {
             return Err(refusal::Refusal::BodyMemoryFull);
         }
-        if buffered.reserved_bytes > max_bytes {
+        if reservation.reserved().0 > max_bytes {
             return Err(refusal::Refusal::BodyTooLarge);
         }
         contents.extend_from_slice(&chunk);
     }
-    buffered.bytes = contents.freeze();
-    Ok(buffered)
+    Ok(BufferedBody { bytes: contents.freeze(), _memory: reservation })
 }
--- a/crates/waxwing-vm/src/vm.rs
+++ b/crates/waxwing-vm/src/vm.rs
@@ -16,9 +16,11 @@
 use waxwing_route::table;
 use waxwing_timeline::stamp;
 use waxwing_units::id;
+use waxwing_units::size;
 use waxwing_units::time as units_time;
 
 use crate::arrival_rate;
+use crate::body_memory;
 use crate::contracts;
 use crate::counters;
 use crate::http_adapter;
@@ -36,7 +38,7 @@
 /// The most access log lines per second.
 const REQUEST_LOG_LINES_MAX_PER_S: u32 = 100;
 
-/// The part of the memory limit that request bodies may take, as a divisor.
+/// The part of the memory limit that the bodies of requests and responses may take, as a divisor.
 const BODY_MEMORY_DIVISOR: u64 = 4;
 
 /// The configuration in force, and when it was last confirmed.
@@ -120,8 +122,8 @@
     pub arrival_rate: arrival_rate::ArrivalRate,
     /// Requests whose responses have not ended.
     pub in_flight: atomic::AtomicU64,
-    /// Bytes of request bodies in memory.
-    pub buffered_bytes: atomic::AtomicU64,
+    /// The memory for the bodies of requests and responses.
+    pub body_memory: sync::Arc<body_memory::BodyMemory>,
     stage: atomic::AtomicU8,
     last_store_failure_at: Mutex<units_time::MonoInstant>,
     last_store_response_at: Mutex<units_time::MonoInstant>,
@@ -162,7 +164,7 @@
             published_ready: sync::Arc::default(),
             arrival_rate: arrival_rate::ArrivalRate::default(),
             in_flight: atomic::AtomicU64::new(0),
-            buffered_bytes: atomic::AtomicU64::new(0),
+            body_memory: sync::Arc::default(),
             stage: atomic::AtomicU8::new(Stage::Serving as u8),
             last_store_failure_at: Mutex::new(clock::now()),
             last_store_response_at: Mutex::default(),
@@ -241,9 +243,10 @@
         (limit, self.membership.lock().len())
     }
 
-    /// Returns the most bytes that request bodies in memory may take.
-    pub fn buffered_max_bytes(&self) -> u64 {
-        self.settings().settings.memory_max.0 / BODY_MEMORY_DIVISOR
+    /// Returns an empty reservation of memory for a body.
+    pub fn reserve_body_memory(&self) -> body_memory::Reservation {
+        let max = self.settings().settings.memory_max.0 / BODY_MEMORY_DIVISOR;
+        self.body_memory.reservation(size::Bytes(max))
     }
 
     /// Records that a call to the store failed now.
