fix(vm): a response announced as too large is not read, and buffers count twice

Beside other tests the test of bytes without end saw 103,760 KiB of growth: the accounting counted content, and a buffer that grows doubles. A body counts twice its content now, and one whose announced length is over the limit fails before it is read.

--- a/crates/waxwing-vm/src/exchange.rs
+++ b/crates/waxwing-vm/src/exchange.rs
@@ -25,6 +25,9 @@
 /// The largest response body that is buffered, in bytes.
 const RESPONSE_MAX_BYTES: usize = 16 * 1024 * 1024;
 
+/// The memory that a buffer may take for each byte in it, since a full buffer doubles its size.
+const BUFFER_BYTES_PER_BYTE: u64 = 2;
+
 /// A request as it is sent to a backend server.
 pub struct Request {
     /// The id that the response has to repeat.
@@ -235,11 +238,16 @@
     response: &client::ClientResponse,
     memory: &mut body_memory::Reservation,
 ) -> Result<ntex_util::Bytes, BodyError> {
+    let announced = response.headers().get(header::CONTENT_LENGTH);
+    let announced_bytes = announced.and_then(|len| len.to_str().ok()?.parse::<u64>().ok());
+    if announced_bytes.is_some_and(|len_bytes| len_bytes > RESPONSE_MAX_BYTES as u64) {
+        return Err(BodyError::TooLarge);
+    }
     let mut payload = response.take_payload();
     let mut contents = ntex_util::BytesMut::new();
     while let Some(chunk) = payload.next().await {
         let chunk = chunk.map_err(BodyError::EndedEarly)?;
-        if !memory.grow(size::Bytes(chunk.len() as u64)) {
+        if !memory.grow(size::Bytes(BUFFER_BYTES_PER_BYTE * chunk.len() as u64)) {
             return Err(BodyError::MemoryFull);
         }
         if contents.len() + chunk.len() > RESPONSE_MAX_BYTES {
