--- a/crates/waxwing-machine/src/lib.rs
+++ b/crates/waxwing-machine/src/lib.rs
@@ -20,6 +20,8 @@
 //! * [`store_reader`]: election of the machine that reads the store for its region.
 //! * [`server_set`]: the backend servers in use, through outages of the store.
 //! * [`placement`]: choice among all backend servers of a service by object affinity.
+//! * `pooled_server`: one server of such a choice.
+//! * [`server_order`]: order of a service's servers for an object, with a cache.
 //! * [`server_health`]: health and load of one backend server, by the outcomes of requests.
 
 pub mod backend_server;
@@ -29,8 +31,10 @@
 pub mod membership;
 pub mod placement;
 pub mod pool;
+mod pooled_server;
 pub mod server_health;
 pub mod server_list;
+pub mod server_order;
 pub mod server_registration;
 pub mod server_set;
 pub mod store_reader;
--- a/crates/waxwing-machine/src/placement.rs
+++ b/crates/waxwing-machine/src/placement.rs
@@ -10,22 +10,19 @@
 //! machine that owns it sends to it, at a limited rate. The same holds for a server that may be
 //! cold, until it registers again: one that failed or whose failure domain was evacuated.
 
+use std::cmp;
 use std::net;
 use std::time;
 
 use waxwing_units::id;
 use waxwing_units::rate;
-use waxwing_units::rendezvous;
 use waxwing_units::time as units_time;
 
+use crate::pooled_server;
 use crate::server_health;
-use crate::server_registration;
+use crate::server_order;
 use crate::server_set;
 
-/// How long a server counts as cold after the evacuation of its failure domain ends: the
-/// longest time until it has reported its cold time.
-const COLD_AFTER_EVACUATION: time::Duration = time::Duration::from_millis(4_000);
-
 /// The part of a cold server's request rate that its owner uses, in thousandths.
 const COLD_RATE_USED_PERMILLE: u64 = 800;
 
@@ -100,7 +97,8 @@
     /// The evacuated failure domains, whose servers receive no requests as long as the store says
     /// so; sorted.
     pub evacuated: &'a [id::FailureDomainId],
-    /// Returns whether this machine owns a server; only the owner sends to a cold server.
+    /// Returns whether this machine owns a server; only the owner sends to a cold server. A server
+    /// that turns cold between two updates is used by no machine until the next one.
     pub owns: &'a dyn Fn(&id::BackendServerId) -> bool,
     /// Returns the slot weight of a failure domain's servers.
     pub slot_weight: &'a dyn Fn(&id::FailureDomainId) -> SlotWeight,
@@ -110,26 +108,32 @@
     pub options: Options,
 }
 
-/// One server of a pool, with its health.
-#[derive(Debug, Clone)]
-struct PooledServer {
-    known: server_set::KnownServer,
-    health: server_health::ServerHealth,
-    is_evacuated: bool,
-    is_owned: bool,
-    slot_weight: SlotWeight,
-    assumed_cold_until: units_time::MonoInstant,
-    next_cold_request_at: units_time::MonoInstant,
-}
-
 /// The servers of one service, sorted by name.
 #[derive(Debug, Clone, Default)]
 pub struct Pool {
     options: Options,
-    servers: Vec<PooledServer>,
+    servers: Vec<pooled_server::PooledServer>,
+    orders: server_order::OrderCache,
     cold_interval: time::Duration,
 }
 
+/// The servers among which a request chooses.
+enum Homes {
+    /// The positions of usable servers, as many as an object has homes if there are so many.
+    Usable(Vec<usize>),
+    /// No server may run the request.
+    NoneEligible,
+}
+
+impl Criteria<'_> {
+    const fn bodies(&self) -> server_order::Bodies {
+        match self.has_large_bodies {
+            true => server_order::Bodies::Large,
+            false => server_order::Bodies::Small,
+        }
+    }
+}
+
 impl Pool {
     /// Replaces the servers with `known`, those of this service, sorted by name. A server keeps
     /// its state until its process restarts.
@@ -151,22 +155,22 @@
                 let same = found.ok().map(|at| &previous[at]).filter(|server| {
                     server.known.registration.started == known.registration.started
                 });
-                PooledServer::updated(now, same, known, context)
+                pooled_server::PooledServer::updated(now, same, known, context)
             })
             .collect();
+        let has_same_order = previous.len() == self.servers.len()
+            && previous.iter().zip(&self.servers).all(|(a, b)| a.has_order_of(b));
+        if !has_same_order {
+            self.orders.clear();
+        }
     }
 
     /// Chooses a server for a request and counts the request there.
     pub fn acquire(&mut self, now: units_time::MonoInstant, criteria: &Criteria<'_>) -> Choice {
-        let eligible = self.eligible(criteria);
-        if eligible.is_empty() {
-            return Choice::NoneEligible;
-        }
-        let homes: Vec<usize> = eligible
-            .into_iter()
-            .filter(|at| self.servers[*at].is_usable(now))
-            .take(self.options.homes.max(1))
-            .collect();
+        let homes = match self.homes(now, criteria) {
+            Homes::Usable(homes) => homes,
+            Homes::NoneEligible => return Choice::NoneEligible,
+        };
         let load = |at: &&usize| self.servers[**at].load_permille(now);
         let queued = FULL_PERMILLE * self.options.queued_per_slot_max / (1 + criteria.rank);
         let has_queue_space = |at: &&usize| load(at) < FULL_PERMILLE + queued;
@@ -183,17 +187,45 @@
         })
     }
 
-    /// Returns the indexes of the servers that may run a request, with the object's homes first.
-    fn eligible(&self, criteria: &Criteria<'_>) -> Vec<usize> {
-        let mut order: Vec<(u64, usize)> = self
-            .servers
-            .iter()
-            .enumerate()
-            .filter(|(_, server)| server.is_eligible(criteria))
-            .map(|(at, server)| (server.weight(criteria), at))
-            .collect();
-        order.sort_unstable_by(|a, b| b.cmp(a));
-        order.into_iter().map(|(_, at)| at).collect()
+    /// Returns the usable servers among which a request chooses, the first home first.
+    fn homes(&mut self, now: units_time::MonoInstant, criteria: &Criteria<'_>) -> Homes {
+        let homes_max = self.options.homes.max(1);
+        if let Some(object) = criteria.object {
+            let (servers, orders) = (&self.servers, &mut self.orders);
+            let bodies = criteria.bodies();
+            let candidates = servers.iter().map(|server| server.candidate(bodies));
+            let first = orders.first(object, bodies, candidates).iter().copied();
+            let homes = usable_among(servers, homes_max, first, now, criteria);
+            if homes.len() == homes_max {
+                return Homes::Usable(homes);
+            }
+        }
+        let order = self.full_order(criteria);
+        match order.iter().any(|at| self.servers[*at].is_eligible(criteria)) {
+            true => {
+                let order = order.into_iter();
+                Homes::Usable(usable_among(&self.servers, homes_max, order, now, criteria))
+            }
+            false => Homes::NoneEligible,
+        }
+    }
+
+    /// Returns the positions of all servers in the order in which a request prefers them.
+    fn full_order(&self, criteria: &Criteria<'_>) -> Vec<usize> {
+        let bodies = criteria.bodies();
+        match criteria.object {
+            Some(object) => {
+                let candidates = self.servers.iter().map(|server| server.candidate(bodies));
+                server_order::order(object, candidates)
+            }
+            None => {
+                let mut order: Vec<usize> = (0..self.servers.len()).collect();
+                order.sort_by_cached_key(|at| {
+                    cmp::Reverse((self.servers[*at].idle_weight(bodies), *at))
+                });
+                order
+            }
+        }
     }
 
     /// Releases a lease with the request's outcome and the load that the server reported.
@@ -212,6 +244,7 @@
     /// Removes a server that has left or whose address another server has taken over.
     pub fn remove(&mut self, lease: &Lease) {
         self.servers.retain(|server| !server.holds(lease));
+        self.orders.clear();
     }
 
     /// Extends the cold time of a server, which reports that it stays cold for `remaining`.
@@ -226,8 +259,12 @@
         }
     }
 
-    fn server_mut(&mut self, lease: &Lease) -> Option<&mut PooledServer> {
-        self.servers.iter_mut().find(|server| server.holds(lease))
+    fn server_mut(&mut self, lease: &Lease) -> Option<&mut pooled_server::PooledServer> {
+        let by_name = |server: &pooled_server::PooledServer| {
+            server.known.registration.server.cmp(&lease.server)
+        };
+        let at = self.servers.binary_search_by(by_name).ok()?;
+        Some(&mut self.servers[at]).filter(|server| server.holds(lease))
     }
 
     /// Returns the number of this machine's requests in progress at all servers.
@@ -242,97 +279,15 @@
     used_rate.time_to_yield(rate::NanoTokens(rate::NANO_PER_TOKEN))
 }
 
-impl PooledServer {
-    fn updated(
-        now: units_time::MonoInstant,
-        previous: Option<&Self>,
-        known: &server_set::KnownServer,
-        context: &Context<'_>,
-    ) -> Self {
-        let is_evacuated =
-            context.evacuated.binary_search(&known.registration.failure_domain).is_ok();
-        let mut server = previous.cloned().unwrap_or_else(|| Self {
-            known: known.clone(),
-            health: server_health::ServerHealth::default(),
-            is_evacuated,
-            is_owned: false,
-            slot_weight: SlotWeight { small_bodies: 1, large_bodies: 1 },
-            assumed_cold_until: units_time::MonoInstant::default(),
-            next_cold_request_at: now,
-        });
-        if server.is_evacuated && !is_evacuated {
-            server.assumed_cold_until = now.after(COLD_AFTER_EVACUATION);
-        }
-        server.is_evacuated = is_evacuated;
-        server.is_owned = (context.owns)(&known.registration.server);
-        server.slot_weight = (context.slot_weight)(&known.registration.failure_domain);
-        server.known = known.clone();
-        server
-    }
-
-    fn holds(&self, lease: &Lease) -> bool {
-        let registration = &self.known.registration;
-        registration.server == lease.server && registration.started == lease.started
-    }
-
-    fn is_eligible(&self, criteria: &Criteria<'_>) -> bool {
-        let registration = &self.known.registration;
-        registration.state == server_registration::State::Ready
-            && !self.is_evacuated
-            && !criteria.tried.contains(&registration.server)
-            && (criteria.allows)(&registration.failure_domain)
-    }
-
-    /// Returns the server's weight for a request; the server with the highest comes first.
-    fn weight(&self, criteria: &Criteria<'_>) -> u64 {
-        let registration = &self.known.registration;
-        let slot_weight = if criteria.has_large_bodies {
-            self.slot_weight.large_bodies
-        } else {
-            self.slot_weight.small_bodies
-        };
-        match criteria.object {
-            Some(object) => {
-                let share = registration.slots.max(1).saturating_mul(slot_weight.max(1));
-                rendezvous::weighted(object, registration.server.as_str(), share)
-            }
-            None => u64::from(slot_weight) * u64::from(u32::MAX - self.health.in_flight()),
-        }
-    }
-
-    fn is_cold(&self, now: units_time::MonoInstant) -> bool {
-        now < self.known.cold_until || now < self.assumed_cold_until
-    }
-
-    /// Returns whether the server may receive any request now.
-    fn is_usable(&self, now: units_time::MonoInstant) -> bool {
-        if self.health.is_ejected(now)
-            || (self.health.is_on_probation() && self.health.in_flight() > 0)
-        {
-            return false;
-        }
-        !self.is_cold(now) || (self.is_owned && now >= self.next_cold_request_at)
-    }
-
-    /// Returns the load of the server, in thousandths of its slots.
-    fn load_permille(&self, now: units_time::MonoInstant) -> u32 {
-        self.health.load(now).saturating_mul(1_000) / self.known.registration.slots.max(1)
-    }
-
-    fn start_request(
-        &mut self,
-        now: units_time::MonoInstant,
-        cold_interval: time::Duration,
-    ) -> Lease {
-        if self.is_cold(now) {
-            self.next_cold_request_at = now.after(cold_interval);
-        }
-        self.health.begin_request();
-        let registration = &self.known.registration;
-        Lease {
-            server: registration.server.clone(),
-            started: registration.started,
-            address: registration.address,
-        }
-    }
+/// Returns the first `homes_max` of the servers at `order` that may run the request and are usable
+/// now.
+fn usable_among(
+    servers: &[pooled_server::PooledServer],
+    homes_max: usize,
+    order: impl Iterator<Item = usize>,
+    now: units_time::MonoInstant,
+    criteria: &Criteria<'_>,
+) -> Vec<usize> {
+    let is_usable = |at: &usize| servers[*at].is_eligible(criteria) && servers[*at].is_usable(now);
+    order.filter(is_usable).take(homes_max).collect()
 }
--- a/crates/waxwing-machine/tests/machine/placement.rs
+++ b/crates/waxwing-machine/tests/machine/placement.rs
@@ -284,3 +284,38 @@
     assert_eq!(fill(&mut pool, 0), 1, "the rest of the queue");
     assert_eq!(fill(&mut pool_of(&known, &[], false), 0), 4);
 }
+
+/// A pool keeps the first servers of objects that were requested before; the choice must be that of
+/// a pool that keeps nothing, whatever has changed since.
+#[test]
+fn kept_orders_choose_as_new_ones_do() {
+    let mut all = servers(40);
+    let mut pool = pool_of(&all, &[], false);
+    for round in 0..30_usize {
+        match round % 3 {
+            0 => all[round].registration.slots = 5,
+            1 => drop(all.remove(round)),
+            _ => all[round].registration.state = server_registration::State::Draining,
+        }
+        update(&mut pool, at_ms(0), &all, &[], false);
+        for object in 0..60 {
+            let object = format!("object-{object}");
+            let mut fresh = pool_of(&all, &[], false);
+            let kept = acquire(&mut pool, 0, &object);
+            assert_eq!(kept, acquire(&mut fresh, 0, &object), "round {round}, {object}");
+            let kept = kept.expect("room");
+            pool.release(at_ms(0), &kept, server_health::AttemptOutcome::Responded, None);
+        }
+    }
+}
+
+#[test]
+fn the_cold_time_that_a_response_states_outlives_the_next_list_of_servers() {
+    let all = servers(1);
+    let mut pool = pool_of(&all, &[], false);
+    let lease = acquire(&mut pool, 0, "a").expect("room");
+    pool.set_cold(at_ms(0), &lease, time::Duration::from_millis(3_000));
+    update(&mut pool, at_ms(200), &all, &[], false);
+    assert_eq!(acquire(&mut pool, 2_900, "a"), None, "the server is cold, and owned by another");
+    assert!(acquire(&mut pool, 3_100, "a").is_some());
+}
--- a/crates/waxwing-measure/src/main.rs
+++ b/crates/waxwing-measure/src/main.rs
@@ -6,6 +6,7 @@
 use waxwing_contract::options;
 use waxwing_measure::accuracy;
 use waxwing_measure::capacity;
+use waxwing_measure::placement_cost;
 use waxwing_measure::trace;
 
 /// Simulates the distributed rate limit and measures costs, with fixed seeds.
@@ -59,6 +60,8 @@
     },
     /// Time to grant and settle a token, by number of outstanding grants.
     Holder,
+    /// Time to choose a backend server, by number of servers.
+    Placement,
 }
 
 fn main() {
@@ -81,6 +84,7 @@
             print!("{}", capacity::blocks_yaml(count, &failure_domain));
         }
         What::Holder => measure_holder(),
+        What::Placement => measure_placement(),
     }
 }
 
@@ -154,6 +158,17 @@
     }
 }
 
+fn measure_placement() {
+    println!("servers  first choice us  later choice us  same list us");
+    for servers in [14, 168, 583, 1_077, 10_000] {
+        let cost = placement_cost::placement_cost(servers);
+        println!(
+            "{servers:>7} {:>16.2} {:>16.2} {:>13.1}",
+            cost.first_us, cost.later_us, cost.update_us
+        );
+    }
+}
+
 /// The ways of spreading demand over the VMs, with their names in the table.
 const SKEWS: [(&str, trace::Skew); 3] = [
     ("uniform", trace::Skew::Uniform),
