feat(request): callers refused for lack of tokens get turns of their own

A refused caller was told when the next token is due, whatever had been told to others: where an organisation asks twice its rate, all come back for the same token and are refused again. Turns follow each other at the rate of the machine's share, within 2 s.

--- a/crates/waxwing-contract/src/token_balance.rs
+++ b/crates/waxwing-contract/src/token_balance.rs
@@ -190,6 +190,12 @@
         (span != time::Duration::MAX).then_some(span)
     }
 
+    /// Returns the time in which this machine's share yields one token; `None` without a share.
+    pub fn token_interval(&self) -> Option<time::Duration> {
+        let interval = self.share_limit.rate_per_second.time_to_yield(ONE_TOKEN);
+        (interval != time::Duration::MAX).then_some(interval)
+    }
+
     /// Returns the spendable tokens as of the last call of [`Self::refresh`].
     fn level(&self) -> rate::NanoTokens {
         let borrowed = self.borrowed.iter().map(|loan| loan.amount);
--- a/crates/waxwing-request/src/lib.rs
+++ b/crates/waxwing-request/src/lib.rs
@@ -7,9 +7,11 @@
 //! * [`budget`]: a retry budget per service that is shared by all machines.
 //! * [`retry`]: a retry budget that each machine applies by itself.
 //! * [`queue`]: a fair queue of requests that wait for a slot at a backend server.
+//! * [`return_schedule`]: when callers whose requests were refused should come back.
 
 pub mod attempt;
 pub mod budget;
 pub mod outcome;
 pub mod queue;
 pub mod retry;
+pub mod return_schedule;
--- a/crates/waxwing-request/tests/request/main.rs
+++ b/crates/waxwing-request/tests/request/main.rs
@@ -4,3 +4,4 @@
 mod budget;
 mod queue;
 mod retry;
+mod return_schedule;
--- a/crates/waxwing-vm/src/account.rs
+++ b/crates/waxwing-vm/src/account.rs
@@ -13,6 +13,7 @@
 use waxwing_contract::token_balance;
 use waxwing_machine::membership;
 use waxwing_protocol::peer;
+use waxwing_request::return_schedule;
 use waxwing_route::policy;
 use waxwing_units::id;
 use waxwing_units::rate;
@@ -37,7 +38,7 @@
 pub enum ChargeError {
     /// The organisation has used up its rate and burst.
     Exhausted {
-        /// How long until the next token is expected.
+        /// How long until a token is expected that no other refused caller was told of.
         retry_after: time::Duration,
     },
     /// This VM has no share of the contract, and no other VM lends any tokens.
@@ -64,6 +65,8 @@
     last_prefetch_at: units_time::MonoInstant,
     no_lenders_until: units_time::MonoInstant,
     loan_received: sync::Arc<Notify>,
+    /// The turns of callers that were refused for lack of tokens.
+    returns: return_schedule::ReturnSchedule,
 }
 
 /// The fleet's members, as this VM last read them.
@@ -113,6 +116,7 @@
             last_prefetch_at: units_time::MonoInstant::default(),
             no_lenders_until: units_time::MonoInstant::default(),
             loan_received: sync::Arc::default(),
+            returns: return_schedule::ReturnSchedule::default(),
         }
     }
 
@@ -163,15 +167,16 @@
     }
 
     fn charge_error(&mut self, now: units_time::MonoInstant) -> ChargeError {
-        match self.balance.next_token_in(now) {
-            Some(retry_after) => ChargeError::Exhausted { retry_after },
-            None if self.has_holder_response || self.lender_search.has_response() => {
-                let token = rate::NanoTokens(rate::NANO_PER_TOKEN);
-                let token_interval = self.contract_limit.rate_per_second.time_to_yield(token);
-                ChargeError::Exhausted { retry_after: token_interval.min(RETRY_AFTER_MAX) }
-            }
-            None => ChargeError::NoShare { retry_after: NO_SHARE_RETRY_AFTER },
-        }
+        let token = rate::NanoTokens(rate::NANO_PER_TOKEN);
+        let contract_interval = self.contract_limit.rate_per_second.time_to_yield(token);
+        let interval = self.balance.token_interval().unwrap_or(contract_interval);
+        let next_token_in = match self.balance.next_token_in(now) {
+            Some(next_token_in) => next_token_in,
+            None if self.has_holder_response || self.lender_search.has_response() => interval,
+            None => return ChargeError::NoShare { retry_after: NO_SHARE_RETRY_AFTER },
+        };
+        let retry_after = self.returns.next_turn_in(now, next_token_in, interval);
+        ChargeError::Exhausted { retry_after: retry_after.min(RETRY_AFTER_MAX) }
     }
 }
 
