--- a/crates/waxwing-vm/src/registration.rs
+++ b/crates/waxwing-vm/src/registration.rs
@@ -6,6 +6,7 @@
 use std::time;
 
 use waxwing_machine::membership;
+use waxwing_machine::store_reader;
 use waxwing_platform::registry;
 use waxwing_process::clock;
 use waxwing_process::timer;
@@ -16,8 +17,8 @@
 /// How often a registration is renewed within its lease.
 const RENEWALS_PER_LEASE: u32 = 5;
 
-/// How soon a failed call to the store is repeated.
-const RETRY_INTERVAL: time::Duration = time::Duration::from_millis(200);
+/// How soon an ended registration is replaced.
+const REREGISTRATION_DELAY: time::Duration = time::Duration::from_millis(200);
 
 /// How often this VM checks whether all other members have read its registration.
 const ADMISSION_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(200);
@@ -25,6 +26,7 @@
 /// Registers this VM and renews the registration; returns when the shutdown begins.
 pub async fn keep_registered<R: registry::Registry>(vm: vm::Shared, registry: sync::Arc<R>) {
     let lease = vm.settings().settings.registration_lease.duration();
+    let mut failures_in_a_row = 0;
     loop {
         if vm.stage() != vm::Stage::Serving {
             return;
@@ -52,16 +54,19 @@
         let delay = match result {
             Ok(renewal) => {
                 record_registration(&vm, renewal);
+                failures_in_a_row = 0;
                 lease / RENEWALS_PER_LEASE
             }
             Err(registry::Error::Ended) => {
                 log::warn!("the registration has ended");
                 vm.membership.lock().set_registration(None);
-                RETRY_INTERVAL
+                REREGISTRATION_DELAY
             }
             Err(error) => {
                 log::info!("can't create or renew the registration: {error}");
-                RETRY_INTERVAL
+                failures_in_a_row += 1;
+                // A registration does no more for the region's reader than for another machine.
+                store_reader::retry_backoff(failures_in_a_row, false)
             }
         };
         timer::sleep(delay).await;
