--- a/crates/waxwing-contract/src/account.rs
+++ b/crates/waxwing-contract/src/account.rs
@@ -9,9 +9,11 @@
 use waxwing_units::time as units_time;
 
 use crate::borrower;
+use crate::charge;
 use crate::contract;
 use crate::floor;
 use crate::holder;
+use crate::lease_renewal;
 use crate::message;
 use crate::options;
 
@@ -32,14 +34,6 @@
     }
 }
 
-/// A lease request without a response.
-#[derive(Debug, Clone)]
-struct LeaseRequest {
-    failure_domain: id::FailureDomainId,
-    nonce: id::Nonce,
-    requested_at: units_time::MonoInstant,
-}
-
 /// Whether this incarnation of the process may use the seats that the records assign to its
 /// machine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -67,9 +61,7 @@
     base: Option<holder::Holder>,
     floors: Vec<floor::Floor>,
     borrower: borrower::Borrower,
-    lease_requests: Vec<LeaseRequest>,
-    next_renewal_at: units_time::MonoInstant,
-    next_lease_nonce: u64,
+    lease_renewal: lease_renewal::LeaseRenewal,
     last_call_at: units_time::MonoInstant,
     seat_status: SeatStatus,
     local_messages: Vec<message::Body>,
@@ -93,9 +85,7 @@
             base: None,
             floors: Vec::new(),
             borrower: borrower::Borrower::new(options, now),
-            lease_requests: Vec::new(),
-            next_renewal_at: now,
-            next_lease_nonce: 1,
+            lease_renewal: lease_renewal::LeaseRenewal::new(now),
             last_call_at: now,
             seat_status: SeatStatus::Unconfirmed { since: now },
             local_messages: Vec::new(),
@@ -154,7 +144,7 @@
         now: units_time::MonoInstant,
         read_at: units_time::MonoInstant,
         holders: Holders,
-        out: &mut borrower::Outbox,
+        out: &mut charge::Outbox,
     ) {
         self.check_stall(now, out);
         self.holders = holders;
@@ -172,11 +162,11 @@
     fn apply_base_seat(&mut self, now: units_time::MonoInstant) {
         if self.holders.base.as_ref() != Some(&self.me.vm) {
             self.base = None;
-            self.lease_requests.clear();
+            self.lease_renewal.clear();
         } else if self.base.is_none() {
             let grants_from = now.after(self.options.holder_grant_validity());
             self.base = Some(holder::Holder::new(self.options, self.contract.base(), grants_from));
-            self.next_renewal_at = now;
+            self.lease_renewal.restart(now);
         }
     }
 
@@ -204,7 +194,7 @@
     fn drop_parts(&mut self) {
         self.base = None;
         self.floors.clear();
-        self.lease_requests.clear();
+        self.lease_renewal.clear();
     }
 
     /// Charges one request, which waits for a token for at most `wait`.
@@ -212,23 +202,23 @@
         &mut self,
         now: units_time::MonoInstant,
         wait: time::Duration,
-        out: &mut borrower::Outbox,
-    ) -> borrower::Charge {
+        out: &mut charge::Outbox,
+    ) -> charge::Charge {
         self.check_stall(now, out);
         let targets = self.targets();
         let holds_base = self.base.is_some();
-        let mut effects = borrower::Effects::default();
+        let mut effects = charge::Effects::default();
         let charge = self.borrower.request_token(now, wait, &targets, holds_base, &mut effects);
         self.apply(now, effects, out);
-        resolve_ticket(charge, out)
+        charge.resolve(out)
     }
 
-    fn targets(&self) -> borrower::Targets {
+    fn targets(&self) -> charge::Targets {
         let floor = self.contract.floor(&self.failure_domain).and_then(|_| {
             let vm = self.holders.floor(&self.failure_domain)?;
             Some((self.failure_domain.clone(), vm.clone()))
         });
-        borrower::Targets { base: self.holders.base.clone(), floor }
+        charge::Targets { base: self.holders.base.clone(), floor }
     }
 
     /// Handles a message from another machine.
@@ -236,7 +226,7 @@
         &mut self,
         now: units_time::MonoInstant,
         message: message::Message,
-        out: &mut borrower::Outbox,
+        out: &mut charge::Outbox,
     ) {
         self.check_stall(now, out);
         if message.answers.is_some_and(|incarnation| incarnation != self.me.incarnation) {
@@ -254,7 +244,7 @@
         now: units_time::MonoInstant,
         from: &message::Peer,
         body: message::Body,
-        out: &mut borrower::Outbox,
+        out: &mut charge::Outbox,
     ) {
         use message::Body;
         match body {
@@ -263,7 +253,7 @@
                 self.settle(now, from, &part, nonce, unspent);
             }
             Body::Grant { part, nonce, tokens, start_after_ms } => {
-                let mut effects = borrower::Effects::default();
+                let mut effects = charge::Effects::default();
                 let start_after = start_after_ms.duration();
                 self.borrower.return_late_grant(part, &from.vm, nonce, tokens, &mut effects);
                 self.borrower.handle_grant(now, nonce, tokens, start_after, &mut effects);
@@ -271,7 +261,7 @@
             }
             Body::Deny { nonce, denial, .. } => {
                 let targets = self.targets();
-                let mut effects = borrower::Effects::default();
+                let mut effects = charge::Effects::default();
                 self.borrower.handle_denial(now, nonce, denial, &targets, &mut effects);
                 self.apply_effects(effects, out);
             }
@@ -289,7 +279,7 @@
         now: units_time::MonoInstant,
         from: &message::Peer,
         body: message::Body,
-        out: &mut borrower::Outbox,
+        out: &mut charge::Outbox,
     ) {
         let message::Body::Ask { part, nonce, needed, prefetch, wait_ms, age_us } = body else {
             return;
@@ -348,7 +338,7 @@
         from: &message::Peer,
         failure_domain: id::FailureDomainId,
         nonce: id::Nonce,
-        out: &mut borrower::Outbox,
+        out: &mut charge::Outbox,
     ) {
         let lent = self.floor_mut(&failure_domain).and_then(|floor| floor.lend(now));
         if let Some(lent) = lent {
@@ -365,21 +355,17 @@
         nonce: id::Nonce,
         lent: contract::RateLimit,
     ) {
-        let is_match = |request: &LeaseRequest| {
-            request.nonce == nonce && request.failure_domain == *failure_domain
-        };
-        let Some(at) = self.lease_requests.iter().position(is_match) else {
+        let Some(requested_at) = self.lease_renewal.end_request(failure_domain, nonce) else {
             return;
         };
-        let request = self.lease_requests.swap_remove(at);
         let allowed = self.contract.floor(failure_domain).unwrap_or_default();
         if let Some(base) = &mut self.base {
-            base.add_lease(now, failure_domain, lent.component_min(allowed), request.requested_at);
+            base.add_lease(now, failure_domain, lent.component_min(allowed), requested_at);
         }
     }
 
     /// Performs all actions that are due at `now`.
-    pub fn tick(&mut self, now: units_time::MonoInstant, out: &mut borrower::Outbox) {
+    pub fn tick(&mut self, now: units_time::MonoInstant, out: &mut charge::Outbox) {
         self.check_stall(now, out);
         if let Some(base) = &mut self.base {
             base.advance(now);
@@ -389,43 +375,35 @@
         }
         self.request_leases(now, out);
         let targets = self.targets();
-        let mut effects = borrower::Effects::default();
+        let mut effects = charge::Effects::default();
         self.borrower.tick(now, &targets, &mut effects);
         self.apply(now, effects, out);
     }
 
-    fn request_leases(&mut self, now: units_time::MonoInstant, out: &mut borrower::Outbox) {
-        if self.base.is_none() || now < self.next_renewal_at {
+    fn request_leases(&mut self, now: units_time::MonoInstant, out: &mut charge::Outbox) {
+        if self.base.is_none() || now < self.lease_renewal.next_round_at() {
             return;
         }
-        self.next_renewal_at = now.after(self.options.lease_renewal);
-        self.lease_requests.clear();
+        self.lease_renewal.start_round(now, self.options.lease_renewal);
         let floors = self.holders.floors.clone();
         for (failure_domain, vm) in floors {
             if self.contract.floor(&failure_domain).is_none() {
                 continue;
             }
-            let nonce = id::Nonce(self.next_lease_nonce);
-            self.next_lease_nonce += 1;
-            let domain = failure_domain.clone();
-            self.lease_requests.push(LeaseRequest {
-                failure_domain: domain,
-                nonce,
-                requested_at: now,
-            });
+            let nonce = self.lease_renewal.add_request(now, &failure_domain);
             self.send(&vm, None, message::Body::LeaseAsk { failure_domain, nonce }, out);
         }
     }
 
     /// Returns the next instant at which [`Self::tick`] has something to do.
     pub fn next_wake(&self) -> Option<units_time::MonoInstant> {
-        let lease = self.base.as_ref().map(|_| self.next_renewal_at);
+        let lease = self.base.as_ref().map(|_| self.lease_renewal.next_round_at());
         lease.into_iter().chain(self.borrower.next_wake()).min()
     }
 
     /// Drops all parts, grants and waiting requests if the process stalled for longer than
     /// [`options::Options::stall_max`], since another machine may have taken over its seats.
-    fn check_stall(&mut self, now: units_time::MonoInstant, out: &mut borrower::Outbox) {
+    fn check_stall(&mut self, now: units_time::MonoInstant, out: &mut charge::Outbox) {
         let stalled_for = now.since(self.last_call_at);
         self.last_call_at = self.last_call_at.max(now);
         if stalled_for <= self.options.stall_max {
@@ -435,7 +413,7 @@
             self.seat_status = SeatStatus::Unconfirmed { since: now };
         }
         self.drop_parts();
-        let mut effects = borrower::Effects::default();
+        let mut effects = charge::Effects::default();
         self.borrower.refuse_all(&mut effects);
         out.decided.append(&mut effects.decided);
     }
@@ -443,14 +421,14 @@
     fn apply(
         &mut self,
         now: units_time::MonoInstant,
-        effects: borrower::Effects,
-        out: &mut borrower::Outbox,
+        effects: charge::Effects,
+        out: &mut charge::Outbox,
     ) {
         self.apply_effects(effects, out);
         self.handle_local_messages(now, out);
     }
 
-    fn apply_effects(&mut self, effects: borrower::Effects, out: &mut borrower::Outbox) {
+    fn apply_effects(&mut self, effects: charge::Effects, out: &mut charge::Outbox) {
         out.decided.extend(effects.decided);
         for (to, body) in effects.sends {
             self.send(&to, None, body, out);
@@ -463,7 +441,7 @@
         to: &id::VmId,
         answers: Option<id::Incarnation>,
         body: message::Body,
-        out: &mut borrower::Outbox,
+        out: &mut charge::Outbox,
     ) {
         if *to == self.me.vm {
             self.local_messages.push(body);
@@ -474,7 +452,7 @@
         out.outgoing.push(message::Outgoing { to: to.clone(), message });
     }
 
-    fn handle_local_messages(&mut self, now: units_time::MonoInstant, out: &mut borrower::Outbox) {
+    fn handle_local_messages(&mut self, now: units_time::MonoInstant, out: &mut charge::Outbox) {
         let me = self.me.clone();
         while !self.local_messages.is_empty() {
             for body in mem::take(&mut self.local_messages) {
@@ -484,17 +462,6 @@
     }
 }
 
-/// Replaces a ticket that was decided within the call by the decision.
-fn resolve_ticket(charge: borrower::Charge, out: &mut borrower::Outbox) -> borrower::Charge {
-    let borrower::Charge::Waiting(ticket) = charge else {
-        return charge;
-    };
-    match out.decided.iter().position(|(decided, _)| *decided == ticket) {
-        Some(at) => borrower::Charge::Decided(out.decided.swap_remove(at).1),
-        None => charge,
-    }
-}
-
 fn millis_rounded_up(span: time::Duration) -> units_time::Millis {
     let millis = span.as_nanos().div_ceil(1_000_000);
     units_time::Millis(u64::try_from(millis).unwrap_or(u64::MAX))
--- a/crates/waxwing-contract/src/accounts.rs
+++ b/crates/waxwing-contract/src/accounts.rs
@@ -8,7 +8,7 @@
 use waxwing_units::time as units_time;
 
 use crate::account;
-use crate::borrower;
+use crate::charge;
 use crate::contract;
 use crate::message;
 use crate::options;
@@ -23,7 +23,7 @@
     /// The organisation that is charged.
     pub organisation: id::OrganisationId,
     /// The ticket within the account of the organisation.
-    pub ticket: borrower::Ticket,
+    pub ticket: charge::Ticket,
 }
 
 /// Messages, decisions and wake-ups that a call produced, for the caller to deliver.
@@ -32,7 +32,7 @@
     /// Messages to other machines.
     pub outgoing: Vec<message::Outgoing>,
     /// The requests that were decided.
-    pub decided: Vec<(PendingCharge, borrower::Decision)>,
+    pub decided: Vec<(PendingCharge, charge::Decision)>,
     /// Indexes of shards, and when [`Accounts::tick`] is due next for each of them.
     pub wakes: Vec<(usize, units_time::MonoInstant)>,
 }
@@ -41,7 +41,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Charge {
     /// The request is decided.
-    Decided(borrower::Decision),
+    Decided(charge::Decision),
     /// The decision follows in [`Outbox::decided`] under this identifier.
     Waiting(PendingCharge),
     /// No contract exists for the organisation.
@@ -130,7 +130,7 @@
         for shard in &self.shards {
             for account in shard.lock().iter_mut() {
                 let holders = seat::holders_of(account.contract(), tables);
-                let mut account_out = borrower::Outbox::default();
+                let mut account_out = charge::Outbox::default();
                 account.set_holders(now, read_at, holders, &mut account_out);
                 out.append(account.organisation(), account_out);
             }
@@ -156,8 +156,8 @@
             account.charge(now, wait, account_out)
         })
         .map_or(Charge::UnknownOrganisation, |charge| match charge {
-            borrower::Charge::Decided(decision) => Charge::Decided(decision),
-            borrower::Charge::Waiting(ticket) => {
+            charge::Charge::Decided(decision) => Charge::Decided(decision),
+            charge::Charge::Waiting(ticket) => {
                 Charge::Waiting(PendingCharge { organisation: organisation.clone(), ticket })
             }
         })
@@ -180,12 +180,12 @@
         &self,
         organisation: &id::OrganisationId,
         out: &mut Outbox,
-        call: impl FnOnce(&mut account::Account, &mut borrower::Outbox) -> T,
+        call: impl FnOnce(&mut account::Account, &mut charge::Outbox) -> T,
     ) -> Option<T> {
         let index = Self::shard_of(organisation);
         let mut shard = self.shards[index].lock();
         let at = shard.binary_search_by(|a| a.organisation().cmp(organisation)).ok()?;
-        let mut account_out = borrower::Outbox::default();
+        let mut account_out = charge::Outbox::default();
         let result = call(&mut shard[at], &mut account_out);
         out.wakes.extend(shard[at].next_wake().map(|wake| (index, wake)));
         out.append(organisation, account_out);
@@ -204,7 +204,7 @@
     ) -> Option<units_time::MonoInstant> {
         let mut shard = self.shards[shard_index].lock();
         for account in shard.iter_mut() {
-            let mut account_out = borrower::Outbox::default();
+            let mut account_out = charge::Outbox::default();
             account.tick(now, &mut account_out);
             out.append(account.organisation(), account_out);
         }
@@ -228,7 +228,7 @@
 }
 
 impl Outbox {
-    fn append(&mut self, organisation: &id::OrganisationId, account_out: borrower::Outbox) {
+    fn append(&mut self, organisation: &id::OrganisationId, account_out: charge::Outbox) {
         self.outgoing.extend(account_out.outgoing);
         self.decided.extend(account_out.decided.into_iter().map(|(ticket, decision)| {
             (PendingCharge { organisation: organisation.clone(), ticket }, decision)
--- a/crates/waxwing-contract/src/borrower.rs
+++ b/crates/waxwing-contract/src/borrower.rs
@@ -1,87 +1,18 @@
 //! Requests tokens from the holders of a contract on behalf of this machine's requests.
 
-use std::fmt;
 use std::time;
 
 use waxwing_units::id;
 use waxwing_units::rate;
 use waxwing_units::time as units_time;
 
+use crate::cached_grants;
+use crate::charge;
 use crate::demand;
 use crate::message;
 use crate::options;
 use crate::pending_request;
 
-/// Identifies a request of this machine that waits for a token.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Ticket(pub u64);
-
-impl fmt::Display for Ticket {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "ticket {}", self.0)
-    }
-}
-
-/// Why a request got no token.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub enum Refusal {
-    /// The organisation has used up its rate and burst.
-    Exhausted {
-        /// How long until a token is expected.
-        retry_after_ms: units_time::Millis,
-    },
-    /// No holder responded in time, or those that did declined for another reason than a lack of
-    /// tokens; or only the floor part responded and has no tokens, which says nothing about the rest
-    /// of the contract. Also the result after a stall of this machine.
-    Unreachable,
-}
-
-/// The outcome of charging a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Decision {
-    /// A token was spent and the request may run.
-    Admitted,
-    /// No token was available and the request must not run.
-    Refused(Refusal),
-}
-
-/// The immediate result of [`crate::account::Account::charge`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Charge {
-    /// The request is decided.
-    Decided(Decision),
-    /// The decision follows in [`Outbox::decided`] under this ticket.
-    Waiting(Ticket),
-}
-
-/// The machines that a borrower may request tokens from.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Targets {
-    /// The holder of the base part.
-    pub base: Option<id::VmId>,
-    /// The holder of the floor part of this machine's failure domain.
-    pub floor: Option<(id::FailureDomainId, id::VmId)>,
-}
-
-/// Messages and decisions that a call produced, for the caller to deliver.
-#[derive(Debug, Default)]
-pub struct Outbox {
-    /// Messages to other machines.
-    pub outgoing: Vec<message::Outgoing>,
-    /// The requests that were decided.
-    pub decided: Vec<(Ticket, Decision)>,
-}
-
-/// A message body with its receiver, before the account adds the sender.
-pub(crate) type Send = (id::VmId, message::Body);
-
-/// Messages and decisions that a call of the borrower produced, for the account to apply.
-#[derive(Debug, Default)]
-pub(crate) struct Effects {
-    pub(crate) sends: Vec<Send>,
-    pub(crate) decided: Vec<(Ticket, Decision)>,
-}
-
 /// Requests tokens from holders and caches those that were granted.
 #[derive(Debug)]
 pub struct Borrower {
@@ -89,7 +20,7 @@
     next_number: u64,
     pending: Vec<pending_request::PendingRequest>,
     delayed: Vec<pending_request::DelayedGrant>,
-    cached_grants: Vec<pending_request::Grant>,
+    cached_grants: cached_grants::CachedGrants,
     abandoned: Vec<pending_request::AbandonedRequest>,
     demand: demand::Demand,
     base_probe_at: Option<units_time::MonoInstant>,
@@ -98,13 +29,13 @@
 
 impl Borrower {
     /// Creates a borrower without grants or requests in progress.
-    pub(crate) const fn new(options: options::Options, now: units_time::MonoInstant) -> Self {
+    pub(crate) fn new(options: options::Options, now: units_time::MonoInstant) -> Self {
         Self {
             options,
             next_number: 1,
             pending: Vec::new(),
             delayed: Vec::new(),
-            cached_grants: Vec::new(),
+            cached_grants: cached_grants::CachedGrants::default(),
             abandoned: Vec::new(),
             demand: demand::Demand { window_started_at: now, current: 0, previous: 0 },
             base_probe_at: None,
@@ -133,55 +64,39 @@
         &mut self,
         now: units_time::MonoInstant,
         wait: time::Duration,
-        targets: &Targets,
+        targets: &charge::Targets,
         holds_base: bool,
-        effects: &mut Effects,
-    ) -> Charge {
+        effects: &mut charge::Effects,
+    ) -> charge::Charge {
         self.demand.record(now, self.options.prefetch_window);
-        if self.spend_cached(now, effects) {
+        if self.cached_grants.spend(now, effects) {
             self.prefetch(now, targets, holds_base, effects);
-            return Charge::Decided(Decision::Admitted);
+            return charge::Charge::Decided(charge::Decision::Admitted);
         }
         let Some((part, to)) = self.select_target(targets) else {
-            return Charge::Decided(Decision::Refused(Refusal::Unreachable));
+            return charge::Charge::Decided(charge::Decision::Refused(
+                charge::Refusal::Unreachable,
+            ));
         };
-        let ticket = Ticket(self.next_number());
+        let ticket = charge::Ticket(self.next_number());
         let prefetch = if holds_base { rate::Tokens(0) } else { self.demand.prefetch_target() };
         let request = self.new_request(now, Some(ticket), part, to, prefetch, now.after(wait));
         self.send(now, request, effects);
-        Charge::Waiting(ticket)
-    }
-
-    /// Spends a token of the oldest cached grant, which is the next to expire.
-    fn spend_cached(&mut self, now: units_time::MonoInstant, effects: &mut Effects) -> bool {
-        self.cached_grants.retain(|grant| grant.valid_until > now);
-        let Some(grant) = self.cached_grants.first_mut() else {
-            return false;
-        };
-        grant.unspent.0 -= 1;
-        if grant.unspent.0 == 0 {
-            let grant = self.cached_grants.remove(0);
-            effects.sends.push(pending_request::settle_message(&grant));
-        }
-        true
+        charge::Charge::Waiting(ticket)
     }
 
     /// Requests tokens ahead of demand if at most half of the target is cached.
     fn prefetch(
         &mut self,
         now: units_time::MonoInstant,
-        targets: &Targets,
+        targets: &charge::Targets,
         holds_base: bool,
-        effects: &mut Effects,
+        effects: &mut charge::Effects,
     ) {
         let wanted = self.demand.prefetch_target();
-        let cached_tokens: u64 = self.cached_grants.iter().map(|grant| grant.unspent.0).sum();
+        let cached = self.cached_grants.unspent();
         let is_prefetching = self.pending.iter().any(|request| request.ticket.is_none());
-        if holds_base
-            || is_prefetching
-            || self.base_is_unresponsive()
-            || cached_tokens * 2 > wanted.0
-        {
+        if holds_base || is_prefetching || self.base_is_unresponsive() || cached.0 * 2 > wanted.0 {
             return;
         }
         let Some(base) = targets.base.clone() else {
@@ -193,7 +108,7 @@
         self.send(now, request, effects);
     }
 
-    fn select_target(&self, targets: &Targets) -> Option<(message::PartName, id::VmId)> {
+    fn select_target(&self, targets: &charge::Targets) -> Option<(message::PartName, id::VmId)> {
         match &targets.base {
             Some(base) if !self.base_is_unresponsive() => {
                 Some((message::PartName::Base, base.clone()))
@@ -205,7 +120,7 @@
     fn new_request(
         &mut self,
         now: units_time::MonoInstant,
-        ticket: Option<Ticket>,
+        ticket: Option<charge::Ticket>,
         part: message::PartName,
         to: id::VmId,
         prefetch: rate::Tokens,
@@ -230,7 +145,7 @@
         &mut self,
         now: units_time::MonoInstant,
         request: pending_request::PendingRequest,
-        effects: &mut Effects,
+        effects: &mut charge::Effects,
     ) {
         effects.sends.push(pending_request::request_message(now, &request, self.round_trip));
         self.pending.push(request);
@@ -247,7 +162,7 @@
         nonce: id::Nonce,
         tokens: rate::Tokens,
         start_after: time::Duration,
-        effects: &mut Effects,
+        effects: &mut charge::Effects,
     ) {
         let Some(at) = self.pending.iter().position(|request| request.nonce == nonce) else {
             return;
@@ -261,8 +176,10 @@
             Some(ticket) if tokens.0 > 0 => {
                 self.start_request(now, ticket, grant, start_after, effects);
             }
-            Some(ticket) => effects.decided.push((ticket, Decision::Refused(Refusal::Unreachable))),
-            None if tokens.0 > 0 => self.cached_grants.push(grant),
+            Some(ticket) => effects
+                .decided
+                .push((ticket, charge::Decision::Refused(charge::Refusal::Unreachable))),
+            None if tokens.0 > 0 => self.cached_grants.insert(grant),
             None => (),
         }
     }
@@ -288,10 +205,10 @@
     fn start_request(
         &mut self,
         now: units_time::MonoInstant,
-        ticket: Ticket,
+        ticket: charge::Ticket,
         mut grant: pending_request::Grant,
         start_after: time::Duration,
-        effects: &mut Effects,
+        effects: &mut charge::Effects,
     ) {
         if !start_after.is_zero() {
             let start_at = now.after(start_after);
@@ -299,15 +216,15 @@
             return;
         }
         if now >= grant.valid_until {
-            effects.decided.push((ticket, Decision::Refused(Refusal::Unreachable)));
+            effects.decided.push((ticket, charge::Decision::Refused(charge::Refusal::Unreachable)));
             return;
         }
         grant.unspent.0 -= 1;
-        effects.decided.push((ticket, Decision::Admitted));
+        effects.decided.push((ticket, charge::Decision::Admitted));
         if grant.unspent.0 == 0 {
             effects.sends.push(pending_request::settle_message(&grant));
         } else {
-            self.cached_grants.push(grant);
+            self.cached_grants.insert(grant);
         }
     }
 
@@ -318,7 +235,7 @@
         from: &id::VmId,
         nonce: id::Nonce,
         tokens: rate::Tokens,
-        effects: &mut Effects,
+        effects: &mut charge::Effects,
     ) {
         if self.abandoned.iter().any(|abandoned| abandoned.nonce == nonce) {
             let body = message::Body::Settle { part, nonce, unspent: tokens };
@@ -332,8 +249,8 @@
         now: units_time::MonoInstant,
         nonce: id::Nonce,
         denial: message::Denial,
-        targets: &Targets,
-        effects: &mut Effects,
+        targets: &charge::Targets,
+        effects: &mut charge::Effects,
     ) {
         let Some(at) = self.pending.iter().position(|request| request.nonce == nonce) else {
             return;
@@ -346,11 +263,11 @@
         match denial {
             message::Denial::Exhausted { retry_after_ms } => {
                 let refusal = match request.part {
-                    message::PartName::Base => Refusal::Exhausted { retry_after_ms },
+                    message::PartName::Base => charge::Refusal::Exhausted { retry_after_ms },
                     // The rest of the contract may have tokens, but its holder does not respond.
-                    message::PartName::Floor(_) => Refusal::Unreachable,
+                    message::PartName::Floor(_) => charge::Refusal::Unreachable,
                 };
-                effects.decided.push((ticket, Decision::Refused(refusal)));
+                effects.decided.push((ticket, charge::Decision::Refused(refusal)));
             }
             message::Denial::Starting | message::Denial::Lent | message::Denial::NotHolder => {
                 self.fall_back_to_floor(now, ticket, &request, targets, effects);
@@ -362,10 +279,10 @@
     fn fall_back_to_floor(
         &mut self,
         now: units_time::MonoInstant,
-        ticket: Ticket,
+        ticket: charge::Ticket,
         request: &pending_request::PendingRequest,
-        targets: &Targets,
-        effects: &mut Effects,
+        targets: &charge::Targets,
+        effects: &mut charge::Effects,
     ) {
         match floor_target(targets) {
             Some((part, to)) if request.part == message::PartName::Base => {
@@ -375,7 +292,9 @@
                 self.send(now, fallback, effects);
             }
             _ => {
-                effects.decided.push((ticket, Decision::Refused(Refusal::Unreachable)));
+                effects
+                    .decided
+                    .push((ticket, charge::Decision::Refused(charge::Refusal::Unreachable)));
             }
         }
     }
@@ -384,18 +303,18 @@
     pub(crate) fn tick(
         &mut self,
         now: units_time::MonoInstant,
-        targets: &Targets,
-        effects: &mut Effects,
+        targets: &charge::Targets,
+        effects: &mut charge::Effects,
     ) {
         self.start_delayed(now, effects);
         self.expire_requests(now, effects);
         self.retry_requests(now, targets, effects);
-        self.return_expiring_grants(now, effects);
+        self.cached_grants.return_expiring(now, effects);
         self.probe_base(now, targets, effects);
         self.abandoned.retain(|abandoned| abandoned.until > now);
     }
 
-    fn start_delayed(&mut self, now: units_time::MonoInstant, effects: &mut Effects) {
+    fn start_delayed(&mut self, now: units_time::MonoInstant, effects: &mut charge::Effects) {
         let (due, later) = self
             .delayed
             .drain(..)
@@ -407,7 +326,7 @@
         }
     }
 
-    fn expire_requests(&mut self, now: units_time::MonoInstant, effects: &mut Effects) {
+    fn expire_requests(&mut self, now: units_time::MonoInstant, effects: &mut charge::Effects) {
         let (expired, open): (
             Vec<pending_request::PendingRequest>,
             Vec<pending_request::PendingRequest>,
@@ -417,7 +336,9 @@
             let until = request.requested_at.after(self.options.holder_grant_validity() * 2);
             self.abandoned.push(pending_request::AbandonedRequest { nonce: request.nonce, until });
             if let Some(ticket) = request.ticket {
-                effects.decided.push((ticket, Decision::Refused(Refusal::Unreachable)));
+                effects
+                    .decided
+                    .push((ticket, charge::Decision::Refused(charge::Refusal::Unreachable)));
             }
         }
     }
@@ -425,8 +346,8 @@
     fn retry_requests(
         &mut self,
         now: units_time::MonoInstant,
-        targets: &Targets,
-        effects: &mut Effects,
+        targets: &charge::Targets,
+        effects: &mut charge::Effects,
     ) {
         let timeout = self.options.request_timeout;
         let attempts_max = self.options.request_attempts_max;
@@ -454,8 +375,8 @@
         &mut self,
         now: units_time::MonoInstant,
         nonce: id::Nonce,
-        targets: &Targets,
-        effects: &mut Effects,
+        targets: &charge::Targets,
+        effects: &mut charge::Effects,
     ) {
         let Some(at) = self.pending.iter().position(|request| request.nonce == nonce) else {
             return;
@@ -471,22 +392,12 @@
         }
     }
 
-    fn return_expiring_grants(&mut self, now: units_time::MonoInstant, effects: &mut Effects) {
-        self.cached_grants.retain(|grant| {
-            let is_retained = now.after(pending_request::RETURN_BEFORE_EXPIRY) < grant.valid_until;
-            if !is_retained {
-                effects.sends.push(pending_request::settle_message(grant));
-            }
-            is_retained
-        });
-    }
-
     /// Probes an unresponsive holder of the base part with a request for no tokens.
     fn probe_base(
         &mut self,
         now: units_time::MonoInstant,
-        targets: &Targets,
-        effects: &mut Effects,
+        targets: &charge::Targets,
+        effects: &mut charge::Effects,
     ) {
         if self.base_probe_at.is_none_or(|probe_at| now < probe_at) {
             return;
@@ -514,25 +425,22 @@
             .iter()
             .map(|request| request.last_sent_at.after(timeout).min(request.deadline));
         let delayed = self.delayed.iter().map(|delayed| delayed.start_at);
-        let cached_grants = self.cached_grants.iter().map(|grant| {
-            let before_ns = pending_request::RETURN_BEFORE_EXPIRY.as_nanos() as u64;
-            units_time::MonoInstant(grant.valid_until.0.saturating_sub(before_ns))
-        });
-        pending.chain(delayed).chain(cached_grants).chain(self.base_probe_at).min()
+        let cached = self.cached_grants.next_return_at();
+        pending.chain(delayed).chain(cached).chain(self.base_probe_at).min()
     }
 
     /// Refuses all waiting requests and drops all cached grants after the machine stalled for too
     /// long to trust its state.
-    pub(crate) fn refuse_all(&mut self, effects: &mut Effects) {
+    pub(crate) fn refuse_all(&mut self, effects: &mut charge::Effects) {
         let pending = self.pending.drain(..).filter_map(|request| request.ticket);
         let delayed = self.delayed.drain(..).map(|delayed| delayed.ticket);
-        let refused = Decision::Refused(Refusal::Unreachable);
+        let refused = charge::Decision::Refused(charge::Refusal::Unreachable);
         effects.decided.extend(pending.chain(delayed).map(|ticket| (ticket, refused)));
         self.cached_grants.clear();
     }
 }
 
-fn floor_target(targets: &Targets) -> Option<(message::PartName, id::VmId)> {
+fn floor_target(targets: &charge::Targets) -> Option<(message::PartName, id::VmId)> {
     let (failure_domain, vm) = targets.floor.clone()?;
     Some((message::PartName::Floor(failure_domain), vm))
 }
--- a/crates/waxwing-contract/src/lib.rs
+++ b/crates/waxwing-contract/src/lib.rs
@@ -11,6 +11,7 @@
 //! * [`seat`]: which machine holds which part, and when another machine may take a part over.
 //! * [`accounts`]: all accounts of one machine, in shards with a lock each.
 //! * [`account`]: the [`account::Account`] of one organisation on one machine.
+//! * [`charge`]: the charge of one request, from the request for a token to the decision.
 //! * [`holder`]: grants tokens of a part that this machine holds.
 //! * [`floor`]: the part reserved for one failure domain, lent to the base part's holder while the
 //!   two are connected.
@@ -40,10 +41,13 @@
 pub mod accounts;
 pub mod borrower;
 pub mod bucket;
+mod cached_grants;
+pub mod charge;
 pub mod contract;
 mod demand;
 pub mod floor;
 pub mod holder;
+mod lease_renewal;
 pub mod lender_search;
 pub mod message;
 pub mod options;
--- a/crates/waxwing-contract/src/pending_request.rs
+++ b/crates/waxwing-contract/src/pending_request.rs
@@ -6,17 +6,14 @@
 use waxwing_units::rate;
 use waxwing_units::time as units_time;
 
-use crate::borrower;
+use crate::charge;
 use crate::message;
 
-/// How long before a grant expires its unspent tokens are returned to the holder.
-pub(crate) const RETURN_BEFORE_EXPIRY: time::Duration = time::Duration::from_millis(150);
-
 /// A token request that was sent to a holder and has no response yet.
 #[derive(Debug, Clone)]
 pub(crate) struct PendingRequest {
     /// The caller's request that needs a token; `None` if the tokens are prefetched.
-    pub(crate) ticket: Option<borrower::Ticket>,
+    pub(crate) ticket: Option<charge::Ticket>,
     pub(crate) part: message::PartName,
     pub(crate) to: id::VmId,
     pub(crate) nonce: id::Nonce,
@@ -30,7 +27,7 @@
 /// A grant whose first token may be spent only from `start_at` on.
 #[derive(Debug, Clone)]
 pub(crate) struct DelayedGrant {
-    pub(crate) ticket: borrower::Ticket,
+    pub(crate) ticket: charge::Ticket,
     pub(crate) grant: Grant,
     pub(crate) start_at: units_time::MonoInstant,
 }
@@ -56,7 +53,7 @@
     now: units_time::MonoInstant,
     request: &PendingRequest,
     round_trip: time::Duration,
-) -> borrower::Send {
+) -> charge::Send {
     let age = now.since(request.requested_at) + round_trip / 2;
     let wait = request.deadline.since(now).as_millis();
     let body = message::Body::Ask {
@@ -70,7 +67,7 @@
     (request.to.clone(), body)
 }
 
-pub(crate) fn settle_message(grant: &Grant) -> borrower::Send {
+pub(crate) fn settle_message(grant: &Grant) -> charge::Send {
     let body = message::Body::Settle {
         part: grant.part.clone(),
         nonce: grant.nonce,
--- a/crates/waxwing-contract/tests/contract/account.rs
+++ b/crates/waxwing-contract/tests/contract/account.rs
@@ -4,7 +4,7 @@
 
 use crate::support::{at_ms, domain, peer, rate_limit, vm};
 use waxwing_contract::account;
-use waxwing_contract::borrower;
+use waxwing_contract::charge;
 use waxwing_contract::contract;
 use waxwing_contract::message;
 use waxwing_contract::options;
@@ -34,12 +34,12 @@
 }
 
 /// Returns an account on vm-b that has requested one token from vm-a, and the nonce of the request.
-fn account_with_token_request() -> (account::Account, borrower::Outbox, id::Nonce) {
+fn account_with_token_request() -> (account::Account, charge::Outbox, id::Nonce) {
     let mut account = account("vm-b");
-    let mut out = borrower::Outbox::default();
+    let mut out = charge::Outbox::default();
     account.set_holders(at_ms(0), at_ms(0), holders("vm-a"), &mut out);
     let charge = account.charge(at_ms(0), WAIT, &mut out);
-    assert!(matches!(charge, borrower::Charge::Waiting(_)));
+    assert!(matches!(charge, charge::Charge::Waiting(_)));
     let sent = out.outgoing.pop().expect("a request");
     assert_eq!(sent.to, vm("vm-a"));
     let message::Body::Ask { nonce, .. } = sent.message.body else {
@@ -62,7 +62,7 @@
     }
 }
 
-fn settled_tokens(out: &borrower::Outbox) -> Vec<u64> {
+fn settled_tokens(out: &charge::Outbox) -> Vec<u64> {
     let unspent = |outgoing: &message::Outgoing| match outgoing.message.body {
         message::Body::Settle { unspent, .. } => Some(unspent.0),
         _ => None,
@@ -76,7 +76,7 @@
     account.receive(at_ms(10), grant(nonce, 1, 1), &mut out);
     account.receive(at_ms(11), grant(nonce, 1, 1), &mut out);
     assert_eq!(out.decided.len(), 1);
-    assert_eq!(out.decided[0].1, borrower::Decision::Admitted);
+    assert_eq!(out.decided[0].1, charge::Decision::Admitted);
     assert_eq!(settled_tokens(&out), [0]);
 }
 
@@ -91,7 +91,7 @@
 fn a_grant_after_the_request_expired_is_returned_in_full() {
     let (mut account, mut out, nonce) = account_with_token_request();
     account.tick(at_ms(101), &mut out);
-    let refused = borrower::Decision::Refused(borrower::Refusal::Unreachable);
+    let refused = charge::Decision::Refused(charge::Refusal::Unreachable);
     assert_eq!(out.decided.pop().expect("a decision").1, refused);
     account.receive(at_ms(150), grant(nonce, 3, 1), &mut out);
     assert_eq!(settled_tokens(&out), [3]);
@@ -102,16 +102,16 @@
 fn prefetched_tokens_are_spent_only_while_they_are_valid() {
     let (mut account, mut out, nonce) = account_with_token_request();
     account.receive(at_ms(10), grant(nonce, 3, 1), &mut out);
-    let admitted = borrower::Charge::Decided(borrower::Decision::Admitted);
+    let admitted = charge::Charge::Decided(charge::Decision::Admitted);
     assert_eq!(account.charge(at_ms(100), WAIT, &mut out), admitted);
     let late = account.charge(at_ms(600), WAIT, &mut out);
-    assert!(matches!(late, borrower::Charge::Waiting(_)), "{late:?}");
+    assert!(matches!(late, charge::Charge::Waiting(_)), "{late:?}");
 }
 
 #[test]
 fn a_copy_of_the_seat_records_confirms_no_seat() {
     let mut account = account("vm-a");
-    let mut out = borrower::Outbox::default();
+    let mut out = charge::Outbox::default();
     let started_at = at_ms(1);
     let mut restarted = account::Account::new(
         options::Options::default(),
@@ -133,7 +133,7 @@
 #[test]
 fn a_stalled_machine_loses_its_seats_until_it_rereads_the_records() {
     let mut account = account("vm-a");
-    let mut out = borrower::Outbox::default();
+    let mut out = charge::Outbox::default();
     account.set_holders(at_ms(5), at_ms(4), holders("vm-a"), &mut out);
     for second in 1..=9 {
         account.tick(at_ms(second * 1_000), &mut out);
@@ -172,7 +172,7 @@
         account::Account::new(options, peer("vm-a"), domain("home"), contract, at_ms(0));
     let holders =
         account::Holders { base: Some(vm("vm-a")), floors: vec![(domain("other"), vm("vm-b"))] };
-    let mut out = borrower::Outbox::default();
+    let mut out = charge::Outbox::default();
     account.set_holders(at_ms(0), at_ms(0), holders, &mut out);
     account.tick(at_ms(0), &mut out);
     let sent = out.outgoing.pop().expect("a request");
@@ -198,7 +198,7 @@
 #[test]
 fn a_lease_counts_from_when_it_was_requested() {
     let (mut account, nonce) = account_with_lease_request();
-    let mut out = borrower::Outbox::default();
+    let mut out = charge::Outbox::default();
     account.receive(at_ms(700), lease(nonce), &mut out);
     assert_eq!(account.base_part(), Some(rate_limit(100, 100)));
     let use_ms = options::Options::default().borrower_lease_validity().as_millis() as u64;
@@ -211,7 +211,7 @@
 #[test]
 fn a_lowered_contract_lowers_active_leases() {
     let (mut account, nonce) = account_with_lease_request();
-    account.receive(at_ms(10), lease(nonce), &mut borrower::Outbox::default());
+    account.receive(at_ms(10), lease(nonce), &mut charge::Outbox::default());
     let lower = contract::Contract {
         revision: id::Revision(2),
         whole: rate_limit(4, 4),
@@ -224,38 +224,38 @@
 #[test]
 fn a_new_holder_waits_until_grants_of_its_predecessor_have_expired() {
     let mut account = account("vm-a");
-    let mut out = borrower::Outbox::default();
+    let mut out = charge::Outbox::default();
     account.set_holders(at_ms(5), at_ms(4), holders("vm-a"), &mut out);
-    let refused = borrower::Decision::Refused(borrower::Refusal::Unreachable);
+    let refused = charge::Decision::Refused(charge::Refusal::Unreachable);
     let early = account.charge(at_ms(600), WAIT, &mut out);
-    assert_eq!(early, borrower::Charge::Decided(refused));
+    assert_eq!(early, charge::Charge::Decided(refused));
     let later = account.charge(at_ms(1_000), WAIT, &mut out);
-    assert_eq!(later, borrower::Charge::Decided(borrower::Decision::Admitted));
+    assert_eq!(later, charge::Charge::Decided(charge::Decision::Admitted));
 }
 
 #[test]
 fn a_grant_that_arrives_after_its_validity_does_not_count_as_exhaustion() {
     let (mut account, mut out, nonce) = account_with_token_request();
     account.receive(at_ms(650), grant(nonce, 1, 1), &mut out);
-    let refused = borrower::Decision::Refused(borrower::Refusal::Unreachable);
+    let refused = charge::Decision::Refused(charge::Refusal::Unreachable);
     assert_eq!(out.decided.pop().expect("a decision").1, refused);
 }
 
 /// Returns an account on vm-b whose base part, on vm-a, does not respond, so that its request went
 /// to the floor part on vm-c; and the nonce of that request.
-fn account_that_fell_back_to_floor() -> (account::Account, borrower::Outbox, id::Nonce) {
+fn account_that_fell_back_to_floor() -> (account::Account, charge::Outbox, id::Nonce) {
     let spread =
         contract::Spread::Floors { failure_domains: vec![domain("far")], floor_permille: 250 };
     let contract = contract::Contract { spread, ..contract() };
     let options = options::Options::default();
     let mut account =
         account::Account::new(options, peer("vm-b"), domain("far"), contract, at_ms(0));
-    let mut out = borrower::Outbox::default();
+    let mut out = charge::Outbox::default();
     let floors = vec![(domain("far"), vm("vm-c"))];
     let holders = account::Holders { base: Some(vm("vm-a")), floors };
     account.set_holders(at_ms(0), at_ms(0), holders, &mut out);
     let wait = time::Duration::from_millis(500);
-    assert!(matches!(account.charge(at_ms(0), wait, &mut out), borrower::Charge::Waiting(_)));
+    assert!(matches!(account.charge(at_ms(0), wait, &mut out), charge::Charge::Waiting(_)));
     account.tick(at_ms(110), &mut out);
     account.tick(at_ms(220), &mut out);
     let sent = out.outgoing.pop().expect("a request to the floor part");
@@ -280,6 +280,36 @@
         },
     };
     account.receive(at_ms(230), denial, &mut out);
-    let refused = borrower::Decision::Refused(borrower::Refusal::Unreachable);
+    let refused = charge::Decision::Refused(charge::Refusal::Unreachable);
     assert_eq!(out.decided.pop().expect("a decision").1, refused);
 }
+
+/// The first grant may be spent only later, so it is cached after the second one, which expires
+/// later.
+#[test]
+fn tokens_of_the_grant_that_expires_first_are_spent_first() {
+    let (mut account, mut out, first) = account_with_token_request();
+    account.charge(at_ms(100), WAIT, &mut out);
+    let message::Body::Ask { nonce: second, .. } =
+        out.outgoing.pop().expect("a request").message.body
+    else {
+        panic!("not a request");
+    };
+    let mut delayed = grant(first, 3, 1);
+    if let message::Body::Grant { start_after_ms, .. } = &mut delayed.body {
+        *start_after_ms = units_time::Millis(300);
+    }
+    account.receive(at_ms(50), delayed, &mut out);
+    account.receive(at_ms(120), grant(second, 3, 1), &mut out);
+    account.tick(at_ms(351), &mut out);
+    assert_eq!(out.decided.len(), 2, "both requests were admitted");
+    for ms in [400, 410] {
+        assert_eq!(account.charge(at_ms(ms), WAIT, &mut out), admitted());
+    }
+    account.tick(at_ms(460), &mut out);
+    assert_eq!(settled_tokens(&out), [0], "no token of the first grant was left to return");
+}
+
+fn admitted() -> charge::Charge {
+    charge::Charge::Decided(charge::Decision::Admitted)
+}
--- a/crates/waxwing-entry/src/refusal.rs
+++ b/crates/waxwing-entry/src/refusal.rs
@@ -2,7 +2,7 @@
 
 use ntex::http;
 use ntex::web;
-use waxwing_contract::borrower;
+use waxwing_contract::charge;
 use waxwing_keeper_client::client;
 use waxwing_protocol::local;
 use waxwing_request::attempt;
@@ -99,10 +99,10 @@
             client::Error::KeeperUnavailable => Self::ContractUnreachable,
             client::Error::Refused(local::ChargeRefusal::UnknownOrganisation) => Self::UnknownKey,
             client::Error::Refused(local::ChargeRefusal::Contract(refusal)) => match refusal {
-                borrower::Refusal::Exhausted { retry_after_ms } => {
+                charge::Refusal::Exhausted { retry_after_ms } => {
                     Self::Exhausted { retry_after_ms: retry_after_ms.0 }
                 }
-                borrower::Refusal::Unreachable => Self::ContractUnreachable,
+                charge::Refusal::Unreachable => Self::ContractUnreachable,
             },
         }
     }
--- a/crates/waxwing-keeper/src/charges.rs
+++ b/crates/waxwing-keeper/src/charges.rs
@@ -2,7 +2,7 @@
 
 use parking_lot::Mutex;
 use waxwing_contract::accounts;
-use waxwing_contract::borrower;
+use waxwing_contract::charge;
 use waxwing_units::id;
 
 /// The number of shards; a charge is in the shard of its organisation's account.
@@ -31,7 +31,7 @@
 #[derive(Debug)]
 enum State {
     Registered(ChargeRequest),
-    Decided(borrower::Decision),
+    Decided(charge::Decision),
 }
 
 /// The pending charges of a shard, sorted by their key.
@@ -59,7 +59,7 @@
         &self,
         pending: &accounts::PendingCharge,
         charge_request: &ChargeRequest,
-    ) -> Option<borrower::Decision> {
+    ) -> Option<charge::Decision> {
         let mut shard = self.shard(pending).lock();
         match shard.binary_search_by(|(key, _)| key.cmp(pending)) {
             Ok(at) => match shard.remove(at).1 {
@@ -78,7 +78,7 @@
     pub fn record_decision(
         &self,
         pending: accounts::PendingCharge,
-        decision: borrower::Decision,
+        decision: charge::Decision,
     ) -> Option<ChargeRequest> {
         let mut shard = self.shard(&pending).lock();
         match shard.binary_search_by(|(key, _)| key.cmp(&pending)) {
--- a/crates/waxwing-keeper/src/keeper.rs
+++ b/crates/waxwing-keeper/src/keeper.rs
@@ -6,7 +6,7 @@
 
 use parking_lot::Mutex;
 use waxwing_contract::accounts;
-use waxwing_contract::borrower;
+use waxwing_contract::charge;
 use waxwing_contract::message;
 use waxwing_contract::options;
 use waxwing_machine::entry_vm;
@@ -156,10 +156,10 @@
     }
 
     /// Responds to a charge with the decision of its account.
-    pub fn respond(&self, charge_request: &charges::ChargeRequest, decision: borrower::Decision) {
+    pub fn respond(&self, charge_request: &charges::ChargeRequest, decision: charge::Decision) {
         let decision = match decision {
-            borrower::Decision::Admitted => Ok(()),
-            borrower::Decision::Refused(refusal) => Err(local::ChargeRefusal::Contract(refusal)),
+            charge::Decision::Admitted => Ok(()),
+            charge::Decision::Refused(refusal) => Err(local::ChargeRefusal::Contract(refusal)),
         };
         self.respond_with(charge_request, decision);
     }
--- a/crates/waxwing-measure/src/accuracy.rs
+++ b/crates/waxwing-measure/src/accuracy.rs
@@ -10,7 +10,7 @@
 use rand::SeedableRng;
 use rand::rngs;
 use waxwing_contract::account;
-use waxwing_contract::borrower;
+use waxwing_contract::charge;
 use waxwing_contract::contract;
 use waxwing_contract::options;
 use waxwing_units::id;
@@ -309,7 +309,7 @@
     fleet.run_until(fleet.now_ns + NS_PER_S);
     let admitted = |during: std::ops::Range<u64>, on: &dyn Fn(usize) -> bool| {
         let is_counted = |f: &&fleet::Finished| {
-            f.decision == borrower::Decision::Admitted && during.contains(&f.at_ns) && on(f.vm)
+            f.decision == charge::Decision::Admitted && during.contains(&f.at_ns) && on(f.vm)
         };
         fleet.finished.iter().filter(is_counted).count() as f64
     };
@@ -323,7 +323,7 @@
     let admitted_isolated = admitted(during_partition.clone(), &|vm| vm == isolated_vm);
     let admitted_elsewhere = admitted(during_partition.clone(), &|vm| vm != isolated_vm);
     let first = fleet.finished.iter().filter(|f| {
-        f.vm == isolated_vm && f.decision == borrower::Decision::Admitted && f.at_ns >= partition_ns
+        f.vm == isolated_vm && f.decision == charge::Decision::Admitted && f.at_ns >= partition_ns
     });
     let first_ns = first.map(|f| f.at_ns).min().unwrap_or(heal_ns);
     PartitionResult {
@@ -351,7 +351,7 @@
     let mut admitted = vec![false; arrivals.len()];
     let mut waits_ms = Vec::new();
     for finished in &fleet.finished {
-        if finished.decision == borrower::Decision::Admitted {
+        if finished.decision == charge::Decision::Admitted {
             let number = finished.request as usize;
             admitted[number] = true;
             let wait_ns = finished.at_ns - arrivals[number].at_ns;
--- a/crates/waxwing-measure/src/fleet.rs
+++ b/crates/waxwing-measure/src/fleet.rs
@@ -12,7 +12,7 @@
 use rand::SeedableRng;
 use rand::rngs;
 use waxwing_contract::account;
-use waxwing_contract::borrower;
+use waxwing_contract::charge;
 use waxwing_contract::contract;
 use waxwing_contract::message;
 use waxwing_contract::options;
@@ -128,7 +128,7 @@
     /// The true time of the decision.
     pub at_ns: u64,
     /// Whether the request was admitted, and why not.
-    pub decision: borrower::Decision,
+    pub decision: charge::Decision,
 }
 
 /// The simulated machines, the network between them and the queue of pending events.
@@ -150,7 +150,7 @@
     queue: collections::BinaryHeap<ScheduledEvent>,
     sequence: u64,
     options: options::Options,
-    waiting: Vec<(usize, borrower::Ticket, u64)>,
+    waiting: Vec<(usize, charge::Ticket, u64)>,
     rng: rngs::SmallRng,
 }
 
@@ -217,7 +217,7 @@
     }
 
     fn refuse_waiting_requests(&mut self, index: usize) {
-        let refusal = borrower::Decision::Refused(borrower::Refusal::Unreachable);
+        let refusal = charge::Decision::Refused(charge::Refusal::Unreachable);
         let (refused_requests, other_requests): (Vec<_>, Vec<_>) =
             self.waiting.drain(..).partition(|(vm, _, _)| *vm == index);
         self.waiting = other_requests;
@@ -254,7 +254,7 @@
     pub fn set_holders(&mut self, index: usize, read_ns: u64, holders: account::Holders) {
         let now = self.vms[index].clock_at(self.now_ns);
         let read_at = self.vms[index].clock_at(read_ns);
-        let mut out = borrower::Outbox::default();
+        let mut out = charge::Outbox::default();
         self.vms[index].account.set_holders(now, read_at, holders, &mut out);
         self.process_outbox(index, out);
     }
@@ -262,13 +262,13 @@
     /// Sends a request to a machine that is running; it waits for a token for `wait` at most.
     pub fn request(&mut self, index: usize, request: u64, wait: time::Duration) {
         let now = self.vms[index].clock_at(self.now_ns);
-        let mut out = borrower::Outbox::default();
+        let mut out = charge::Outbox::default();
         let charge = self.vms[index].account.charge(now, wait, &mut out);
         match charge {
-            borrower::Charge::Decided(decision) => {
+            charge::Charge::Decided(decision) => {
                 self.finished.push(Finished { vm: index, request, at_ns: self.now_ns, decision });
             }
-            borrower::Charge::Waiting(ticket) => self.waiting.push((index, ticket, request)),
+            charge::Charge::Waiting(ticket) => self.waiting.push((index, ticket, request)),
         }
         self.process_outbox(index, out);
     }
@@ -302,7 +302,7 @@
             return;
         }
         let now = self.vms[index].clock_at(self.now_ns);
-        let mut out = borrower::Outbox::default();
+        let mut out = charge::Outbox::default();
         match event {
             Event::Deliver { message, .. } => {
                 self.vms[index].account.receive(now, *message, &mut out);
@@ -320,10 +320,10 @@
         self.process_outbox(index, out);
     }
 
-    fn process_outbox(&mut self, index: usize, out: borrower::Outbox) {
+    fn process_outbox(&mut self, index: usize, out: charge::Outbox) {
         for (ticket, decision) in out.decided {
             let is_decided =
-                |(vm, t, _): &(usize, borrower::Ticket, u64)| *vm == index && *t == ticket;
+                |(vm, t, _): &(usize, charge::Ticket, u64)| *vm == index && *t == ticket;
             if let Some(at) = self.waiting.iter().position(is_decided) {
                 let (vm, _, request) = self.waiting.swap_remove(at);
                 self.finished.push(Finished { vm, request, at_ns: self.now_ns, decision });
--- a/crates/waxwing-measure/tests/contract_bound.rs
+++ b/crates/waxwing-measure/tests/contract_bound.rs
@@ -12,7 +12,7 @@
 use rand::rngs;
 use rand::seq::IndexedRandom;
 use waxwing_contract::account;
-use waxwing_contract::borrower;
+use waxwing_contract::charge;
 use waxwing_contract::contract;
 use waxwing_contract::options;
 use waxwing_contract::seat;
@@ -160,7 +160,7 @@
     }
 
     fn admitted(&self) -> u64 {
-        let is_admitted = |f: &&fleet::Finished| f.decision == borrower::Decision::Admitted;
+        let is_admitted = |f: &&fleet::Finished| f.decision == charge::Decision::Admitted;
         self.fleet.finished.iter().filter(is_admitted).count() as u64
     }
 
@@ -354,7 +354,7 @@
     fn check(&mut self) -> Result<(), String> {
         let mut admitted_ns: Vec<u64> = self.fleet.finished[self.checked_count..]
             .iter()
-            .filter(|finished| finished.decision == borrower::Decision::Admitted)
+            .filter(|finished| finished.decision == charge::Decision::Admitted)
             .map(|finished| finished.at_ns)
             .collect();
         admitted_ns.sort_unstable();
--- a/crates/waxwing-protocol/src/local.rs
+++ b/crates/waxwing-protocol/src/local.rs
@@ -7,7 +7,7 @@
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
-use waxwing_contract::borrower;
+use waxwing_contract::charge;
 use waxwing_machine::fleet;
 use waxwing_record::snapshot;
 use waxwing_timeline::event;
@@ -46,7 +46,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ChargeRefusal {
     /// The contract has no token for the request, or no holder of it is reachable.
-    Contract(borrower::Refusal),
+    Contract(charge::Refusal),
     /// The keeper's records have no such organisation.
     UnknownOrganisation,
 }
@@ -54,8 +54,8 @@
 impl fmt::Display for ChargeRefusal {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            Self::Contract(borrower::Refusal::Exhausted { .. }) => "contract exhausted",
-            Self::Contract(borrower::Refusal::Unreachable) => "no holder reachable",
+            Self::Contract(charge::Refusal::Exhausted { .. }) => "contract exhausted",
+            Self::Contract(charge::Refusal::Unreachable) => "no holder reachable",
             Self::UnknownOrganisation => "organisation not known",
         })
     }
