fix(entry): a forwarded request that ran is not declared as not run for lack of a slot

Entry VM A forwards an idempotent request to B; B's backend server runs it and closes the connection, which ejects the server; B finds no slot for the second attempt and declared 'not run' to A, and A to the caller, though it had run. B's refusal now takes earlier attempts into account, and so does a full queue after an attempt at another entry VM.

--- a/crates/waxwing-entry/src/target.rs
+++ b/crates/waxwing-entry/src/target.rs
@@ -77,7 +77,10 @@
 ) -> request_admission::Result<Target> {
     if admitted.is_forwarded {
         let slot = entry.pools.acquire_forwarded(&admitted.service.service);
-        return slot.map(Target::Slot).ok_or(refusal::Refusal::NoSpareSlot);
+        return slot.map(Target::Slot).ok_or_else(|| match prior.attempts {
+            0 => refusal::Refusal::NoSpareSlot,
+            _ => no_slot(admitted, history),
+        });
     }
     let view = entry.keeper.view();
     let is_local_usable = entry.pools.is_usable(&admitted.service.service);
@@ -90,7 +93,7 @@
     match destination {
         failover::Destination::EntryVm(vm) => Ok(Target::EntryVm(vm)),
         failover::Destination::Local => {
-            wait_for_slot(entry, admitted, &prior.servers, history).await.map(Target::Slot)
+            wait_for_slot(entry, admitted, prior, history).await.map(Target::Slot)
         }
         failover::Destination::ShiftCapped if prior.attempts == 0 => {
             Err(refusal::Refusal::ShiftCapped)
@@ -108,14 +111,16 @@
 pub(crate) async fn wait_for_slot(
     entry: &entry::Entry,
     admitted: &request_admission::AdmittedRequest,
-    tried: &[id::BackendServerId],
+    prior: &PriorAttempts,
     history: &mut attempt::History,
 ) -> request_admission::Result<service_pools::Slot> {
     let service = &admitted.service.service;
     let flow = &admitted.organisation;
-    match entry.pools.acquire(service, flow, admitted.deadline, tried) {
+    match entry.pools.acquire(service, flow, admitted.deadline, &prior.servers) {
         service_pools::Acquired::Slot(slot) => Ok(slot),
-        service_pools::Acquired::QueueFull if tried.is_empty() => Err(refusal::Refusal::QueueFull),
+        service_pools::Acquired::QueueFull if prior.attempts == 0 => {
+            Err(refusal::Refusal::QueueFull)
+        }
         service_pools::Acquired::QueueFull => Err(no_slot(admitted, history)),
         service_pools::Acquired::Queued(mut queued) => {
             let waited = timer::timeout(admitted.time_left(), queued.slot()).await;
--- a/crates/waxwing-session/tests/session/steering.rs
+++ b/crates/waxwing-session/tests/session/steering.rs
@@ -128,3 +128,25 @@
         "a request arrived while all slots were in use"
     );
 }
+
+/// The backend server runs each request and closes the connection; the third failure in a row
+/// ejects it, so that the second attempt of that request finds no slot.
+#[test]
+fn a_forwarded_request_that_ran_is_not_reported_as_not_run_for_lack_of_a_slot() {
+    let (deployment, key) = start(43);
+    report_draining(&deployment, 1);
+    let send = |method: &str, path: &str| {
+        support::send(&deployment, VM, support::keyed_request(method, path, &key))
+    };
+    deployment::wait_until("requests are forwarded", || {
+        send("GET", "/ledger/a").contains("ledger-2 ran")
+    });
+    support::set_backend_control(&deployment, 2, &json!({"mode": "drop"}));
+    for path in ["/ledger/first", "/ledger/second"] {
+        let seen = send("POST", path);
+        assert!(seen.contains("unknown"), "{seen}");
+    }
+    let seen = send("GET", "/ledger/third");
+    assert_eq!(support::run_count(&deployment, 2, "/ledger/third"), 1);
+    assert!(!seen.contains("not-run"), "{seen}");
+}
