--- a/crates/waxwing-vm/src/account.rs
+++ b/crates/waxwing-vm/src/account.rs
@@ -193,7 +193,7 @@
             };
         }
         if now < self.no_lenders_until || now >= wait_until {
-            return LocalCharge::Done(self.wait_for_turn(now, wait_until));
+            return LocalCharge::Done(ChargeAttempt::Refused(self.charge_error(now)));
         }
         match self.lender_search.response_deadline() {
             Some(response_deadline) if now < response_deadline => {
@@ -203,21 +203,6 @@
         }
     }
 
-    /// Waits for the turn that a refused caller would be given, if that comes before `wait_until`;
-    /// the caller would only come back with a new request.
-    fn wait_for_turn(
-        &mut self,
-        now: units_time::MonoInstant,
-        wait_until: units_time::MonoInstant,
-    ) -> ChargeAttempt {
-        match self.charge_error(now) {
-            ChargeError::Exhausted { retry_after } if now.after(retry_after) < wait_until => {
-                self.wait_for_loan(now.after(retry_after))
-            }
-            error => ChargeAttempt::Refused(error),
-        }
-    }
-
     fn wait_for_loan(&self, response_deadline: units_time::MonoInstant) -> ChargeAttempt {
         ChargeAttempt::Wait(self.loan_received.clone().notified_owned(), response_deadline)
     }
@@ -262,12 +247,11 @@
         LoanRequest { nonce, lenders, wanted, need: token_balance::Need::Prefetch }
     }
 
-    /// Returns the next loan request for a request that waits. Once all holders have been asked, the
-    /// charge waits for the next token of this VM's own share, or is refused.
+    /// Returns the next loan request for a request that waits; the charge is refused once all
+    /// holders have been asked.
     pub(crate) fn loan_request(
         &mut self,
         now: units_time::MonoInstant,
-        wait_until: units_time::MonoInstant,
         reachable: &reachable_peers::ReachablePeers,
     ) -> (LoanRequest, ChargeAttempt) {
         let nonce = id::Nonce(now.0);
@@ -279,7 +263,7 @@
                 self.no_lenders_until = now.after(NO_LENDERS_BACKOFF);
                 self.has_holder_response = self.lender_search.has_response();
                 self.lender_search.restart();
-                self.wait_for_turn(now, wait_until)
+                ChargeAttempt::Refused(self.charge_error(now))
             }
         };
         (LoanRequest { nonce, lenders, wanted, need: token_balance::Need::Waiting }, attempt)
--- a/crates/waxwing-vm/src/contracts.rs
+++ b/crates/waxwing-vm/src/contracts.rs
@@ -26,8 +26,8 @@
 /// The number of shards.
 const SHARDS: usize = 16;
 
-/// The longest time that a request waits for a token.
-const TOKEN_WAIT_MAX: time::Duration = time::Duration::from_millis(200);
+/// The longest time that a request waits for a loan.
+const LOAN_WAIT_MAX: time::Duration = time::Duration::from_millis(200);
 
 /// Accounts sorted by organisation.
 type Shard = Vec<account::Account>;
@@ -133,7 +133,7 @@
     deadline: units_time::MonoInstant,
 ) -> std::result::Result<(), account::ChargeError> {
     let started_at = clock::now();
-    let wait_until = deadline.min(started_at.after(TOKEN_WAIT_MAX));
+    let wait_until = deadline.min(started_at.after(LOAN_WAIT_MAX));
     loop {
         let (loan_received, response_deadline) = match try_charge(vm, organisation, wait_until) {
             account::ChargeAttempt::Charged => return Ok(()),
@@ -170,7 +170,7 @@
         token_balance::Need::Prefetch => {
             (account.prefetch_request(now, &reachable), account::ChargeAttempt::Charged)
         }
-        token_balance::Need::Waiting => account.loan_request(now, wait_until, &reachable),
+        token_balance::Need::Waiting => account.loan_request(now, &reachable),
     });
     let Some((loan_request, attempt)) = planned else {
         return account::ChargeAttempt::Charged;
