fix(keeper): listeners go on after a failure, and failures are followed by a pause

One connection that could not be set up (no thread, a socket that was reset) ended the listener for the machine's own processes, or for other keepers, for as long as the keeper ran; failures of accept and recv were retried at once, which spins where descriptors have run out. Both listeners share one loop now that logs, pauses 0.1 s and goes on. An I/O error while records are sent no longer counts as a malformed message.

Tests: a connection is served after one that failed; 30 waiting connections that fail are at most 11 failures a second.

--- a/crates/waxwing-keeper/src/connections.rs
+++ b/crates/waxwing-keeper/src/connections.rs
@@ -19,6 +19,7 @@
 use waxwing_record::snapshot;
 use waxwing_units::time as units_time;
 
+use crate::acceptor;
 use crate::charges;
 use crate::keeper;
 
@@ -132,19 +133,9 @@
     }
 }
 
-/// Accepts connections; returns only on an error.
-///
-/// # Errors
-///
-/// Returns an error if a connection can't be set up, such as when no thread can be started.
-pub fn run(keeper: &keeper::Shared, listener: &net::TcpListener) -> io::Result<()> {
-    for stream in listener.incoming() {
-        match stream {
-            Ok(stream) => accept(keeper, stream)?,
-            Err(error) => log::debug!("accepting a local connection failed: {error}"),
-        }
-    }
-    Ok(())
+/// Accepts connections; never returns.
+pub fn run(keeper: &keeper::Shared, listener: &net::TcpListener) {
+    acceptor::serve("a process of this machine", listener, |stream| accept(keeper, stream));
 }
 
 fn accept(keeper: &keeper::Shared, stream: net::TcpStream) -> io::Result<()> {
--- a/crates/waxwing-keeper/src/lib.rs
+++ b/crates/waxwing-keeper/src/lib.rs
@@ -20,9 +20,10 @@
 //!   fetch.
 //! * [`platform`]: the platform's store and machine list.
 //!
-//! They share the state in [`keeper`], each part under its own lock. [`records`] and [`charges`]
+//! [`acceptor`] accepts the connections for the last three. They share the state in [`keeper`], each part under its own lock. [`records`] and [`charges`]
 //! are parts of that state; [`settings`] is read once at the start.
 
+pub mod acceptor;
 pub mod charges;
 pub mod connections;
 pub mod heartbeats;
--- a/crates/waxwing-keeper/src/main.rs
+++ b/crates/waxwing-keeper/src/main.rs
@@ -76,9 +76,9 @@
     }
     start("timer", keeper, |keeper| timer::run(keeper))?;
     start("heartbeats", keeper, |keeper| heartbeats::run(keeper))?;
-    start("local", keeper, move |keeper| log_error(connections::run(keeper, &local_listener)))?;
+    start("local", keeper, move |keeper| connections::run(keeper, &local_listener))?;
     start("copies", keeper, move |keeper| {
-        log_error(record_replication::serve(keeper, &replication_listener))
+        record_replication::serve(keeper, &replication_listener)
     })?;
     start("fetch", keeper, move |keeper| record_replication::fetch_newer(keeper, &revision_queue))?;
     let first_peers = settings.first_peers.clone();
@@ -98,12 +98,6 @@
     Ok(())
 }
 
-fn log_error(result: std::io::Result<()>) {
-    if let Err(error) = result {
-        log::error!("listener failed: {error}");
-    }
-}
-
 fn serve_admin(
     keeper: &keeper::Shared,
     settings: &settings::Checked,
--- a/crates/waxwing-keeper/src/peers.rs
+++ b/crates/waxwing-keeper/src/peers.rs
@@ -1,11 +1,14 @@
 //! Receives and handles datagrams from other keepers.
 
+use std::thread;
+
 use waxwing_contract::accounts;
 use waxwing_machine::fleet;
 use waxwing_process::clock;
 use waxwing_protocol::peer;
 use waxwing_timeline::event;
 
+use crate::acceptor;
 use crate::keeper;
 
 /// Bytes of the receive buffer; a longer datagram is truncated and fails to decode.
@@ -17,7 +20,10 @@
     loop {
         match keeper.socket().recv_from(&mut buffer) {
             Ok((len_bytes, _)) => receive(keeper, &buffer[..len_bytes]),
-            Err(error) => log::debug!("receiving a datagram failed: {error}"),
+            Err(error) => {
+                log::warn!("receiving a datagram failed: {error}");
+                thread::sleep(acceptor::RETRY_PAUSE);
+            }
         }
     }
 }
--- a/crates/waxwing-keeper/src/record_replication.rs
+++ b/crates/waxwing-keeper/src/record_replication.rs
@@ -4,7 +4,6 @@
 //! the sender. So records reach all machines although only some read the store, and a machine that
 //! starts during an outage of the store gets the newest records that its peers have.
 
-use std::io;
 use std::net;
 use std::sync::mpsc;
 use std::thread;
@@ -17,6 +16,7 @@
 use waxwing_units::id;
 use waxwing_units::time as units_time;
 
+use crate::acceptor;
 use crate::keeper;
 use crate::records;
 
@@ -65,26 +65,20 @@
     }
 }
 
-/// Serves the records to other keepers; returns only on an error.
-///
-/// # Errors
-///
-/// Returns an error if no thread can be started for a connection.
-pub fn serve(keeper: &keeper::Shared, listener: &net::TcpListener) -> io::Result<()> {
-    for stream in listener.incoming() {
-        let Ok(stream) = stream else {
-            continue;
-        };
+/// Serves the records to other keepers; never returns.
+pub fn serve(keeper: &keeper::Shared, listener: &net::TcpListener) {
+    acceptor::serve("another keeper", listener, |stream| {
         let keeper = keeper.clone();
-        let respond = move || {
-            if let Err(error) = respond(&keeper, stream) {
-                log::debug!("serving the records failed: {error}");
+        let respond = move || match respond(&keeper, stream) {
+            Ok(()) => (),
+            Err(frame::Error::Io(error)) => log::debug!("sending the records failed: {error}"),
+            Err(error) => {
+                log::debug!("a request for the records is malformed: {error}");
                 keeper.count_malformed();
             }
         };
-        thread::Builder::new().name("copy".to_owned()).spawn(respond)?;
-    }
-    Ok(())
+        thread::Builder::new().name("copy".to_owned()).spawn(respond).map(|_| ())
+    });
 }
 
 fn respond(keeper: &keeper::Keeper, mut stream: net::TcpStream) -> frame::Result<()> {
