fix(entry): the outcome header is believed of entry VMs only, and not taken from callers

A caller's waxwing-outcome was forwarded, and a backend server that repeated it (or set it) made its whole answer count as one that may not have run: the caller got 502 unknown, and an idempotent request was sent again. The header counts where the request was sent to another entry VM, and is reserved.

Both new tests fail with the old code: the answer of a backend server gave Disconnected, and waxwing-outcome was among the forwarded headers.

--- a/crates/waxwing-entry/src/forward.rs
+++ b/crates/waxwing-entry/src/forward.rs
@@ -250,6 +250,7 @@
     }
     let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
     upstream::Request {
+        recipient: target.recipient(),
         method: request.method().clone(),
         path: path.to_owned(),
         headers: forwarded_headers,
--- a/crates/waxwing-entry/src/headers.rs
+++ b/crates/waxwing-entry/src/headers.rs
@@ -47,8 +47,17 @@
 
 /// Headers that an entry VM sets or interprets itself; those of a caller are not forwarded. Sorted
 /// for binary search.
-const RESERVED: [&str; 8] =
-    [DEADLINE_MS, FORWARDED_BY, IDEMPOTENT, KEY, NOT_RUN, ORGANISATION, REQUEST_ID, TIMEOUT_MS];
+const RESERVED: [&str; 9] = [
+    DEADLINE_MS,
+    FORWARDED_BY,
+    IDEMPOTENT,
+    KEY,
+    NOT_RUN,
+    ORGANISATION,
+    OUTCOME,
+    REQUEST_ID,
+    TIMEOUT_MS,
+];
 
 /// Returns the value of a header as text; `None` if it is missing or not ASCII text.
 pub fn text<'a>(headers: &'a header::HeaderMap, name: &str) -> Option<&'a str> {
--- a/crates/waxwing-entry/src/target.rs
+++ b/crates/waxwing-entry/src/target.rs
@@ -14,6 +14,7 @@
 use crate::refusal;
 use crate::request_admission;
 use crate::service_pools;
+use crate::upstream;
 
 /// The targets of a request's attempts so far.
 #[derive(Debug, Default)]
@@ -50,6 +51,13 @@
         }
     }
 
+    pub(crate) const fn recipient(&self) -> upstream::Recipient {
+        match self {
+            Self::Slot(_) => upstream::Recipient::BackendServer,
+            Self::EntryVm(_) => upstream::Recipient::EntryVm,
+        }
+    }
+
     /// Returns the name of the target for events.
     pub(crate) fn name(&self) -> String {
         match self {
--- a/crates/waxwing-entry/src/upstream.rs
+++ b/crates/waxwing-entry/src/upstream.rs
@@ -33,8 +33,19 @@
     Streamed(upload::Upload, upload::ErrorCell),
 }
 
+/// Who a request is sent to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Recipient {
+    /// A backend server.
+    BackendServer,
+    /// Another entry VM, which makes attempts of its own and states their outcome.
+    EntryVm,
+}
+
 /// A request as it is sent to a backend server or another entry VM.
 pub struct Request {
+    /// Who the request is sent to.
+    pub recipient: Recipient,
     /// The HTTP method of the caller's request.
     pub method: http::Method,
     /// Path and query.
@@ -74,10 +85,11 @@
         Body::Buffered(_) => None,
         Body::Streamed(_, upload_error) => Some(upload_error.clone()),
     };
+    let recipient = request.recipient;
     let send_future = send_on_new_connection(address, request, state.clone());
     let result = timer::timeout(timeout, send_future).await;
     let fault = match result {
-        Ok(Ok(response)) => return check_outcome(response),
+        Ok(Ok(response)) => return check_outcome(recipient, response),
         Ok(Err(error)) => fault_of(&error, state.get()),
         Err(timer::Elapsed) => attempt::Fault::DeadlineExceeded,
     };
@@ -86,14 +98,17 @@
     Err(Failure { state: state.get(), fault, upload_error })
 }
 
-/// Returns a failure where the response declares that the request did not run, or that it may have
-/// run without a response of a backend server.
-fn check_outcome(response: client::ClientResponse) -> Result<client::ClientResponse, Failure> {
+/// Returns a failure where the response declares that the request did not run, or where another
+/// entry VM declares that it may have run without a response of a backend server.
+fn check_outcome(
+    recipient: Recipient,
+    response: client::ClientResponse,
+) -> Result<client::ClientResponse, Failure> {
     let is_not_run = response.status() == http::StatusCode::SERVICE_UNAVAILABLE
         && headers::text(response.headers(), headers::NOT_RUN) == Some("true");
-    let is_unknown = headers::text(response.headers(), headers::OUTCOME) == Some("unknown");
+    let is_unknown = recipient == Recipient::EntryVm
+        && headers::text(response.headers(), headers::OUTCOME) == Some("unknown");
     if is_unknown {
-        // The response is from another entry VM, whose own attempt may have run the request.
         return Err(Failure {
             state: attempt::State::Sent,
             fault: attempt::Fault::Disconnected,
