--- a/crates/waxwing-contract/src/account.rs
+++ b/crates/waxwing-contract/src/account.rs
@@ -5,34 +5,16 @@
 use std::time;
 
 use waxwing_units::id;
-use waxwing_units::rate;
 use waxwing_units::time as units_time;
 
 use crate::borrower;
 use crate::charge;
 use crate::contract;
-use crate::floor;
+use crate::held_parts;
 use crate::holder;
-use crate::lease_renewal;
 use crate::message;
 use crate::options;
-
-/// Which machines hold the parts of a contract, according to the seat records.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Holders {
-    /// The holder of the base part.
-    pub base: Option<id::VmId>,
-    /// The holders of floor parts, sorted by failure domain.
-    pub floors: Vec<(id::FailureDomainId, id::VmId)>,
-}
-
-impl Holders {
-    /// Returns the holder of the floor part of `failure_domain`.
-    pub fn floor(&self, failure_domain: &id::FailureDomainId) -> Option<&id::VmId> {
-        let at = self.floors.binary_search_by(|(domain, _)| domain.cmp(failure_domain)).ok()?;
-        Some(&self.floors[at].1)
-    }
-}
+use crate::seat;
 
 /// Whether this incarnation of the process may use the seats that the records assign to its
 /// machine.
@@ -57,11 +39,9 @@
     me: message::Peer,
     failure_domain: id::FailureDomainId,
     contract: contract::Contract,
-    holders: Holders,
-    base: Option<holder::Holder>,
-    floors: Vec<floor::Floor>,
+    holders: seat::Holders,
+    parts: held_parts::HeldParts,
     borrower: borrower::Borrower,
-    lease_renewal: lease_renewal::LeaseRenewal,
     last_call_at: units_time::MonoInstant,
     seat_status: SeatStatus,
     local_messages: Vec<message::Body>,
@@ -81,11 +61,9 @@
             me,
             failure_domain,
             contract,
-            holders: Holders::default(),
-            base: None,
-            floors: Vec::new(),
+            holders: seat::Holders::default(),
+            parts: held_parts::HeldParts::new(options, now),
             borrower: borrower::Borrower::new(options, now),
-            lease_renewal: lease_renewal::LeaseRenewal::new(now),
             last_call_at: now,
             seat_status: SeatStatus::Unconfirmed { since: now },
             local_messages: Vec::new(),
@@ -105,7 +83,7 @@
     /// Returns the limit that this machine can currently grant from, or `None` if it does not hold
     /// the base part.
     pub fn base_part(&self) -> Option<contract::RateLimit> {
-        self.base.as_ref().map(holder::Holder::part)
+        self.parts.base().map(holder::Holder::part)
     }
 
     /// Returns whether the machine has to read the seat records before it may use its seats: after
@@ -124,14 +102,7 @@
             return;
         }
         self.contract = contract;
-        if let Some(base) = &mut self.base {
-            base.set_part(now, self.contract.base());
-            base.limit_leases(now, |domain| self.contract.floor(domain).unwrap_or_default());
-        }
-        for floor in &mut self.floors {
-            let part = self.contract.floor(floor.failure_domain()).unwrap_or_default();
-            floor.set_part(now, part);
-        }
+        self.parts.set_contract(now, &self.contract);
     }
 
     /// Applies the holders from a read of the seat records that began at `read_at`.
@@ -143,7 +114,7 @@
         &mut self,
         now: units_time::MonoInstant,
         read_at: units_time::MonoInstant,
-        holders: Holders,
+        holders: seat::Holders,
         out: &mut charge::Outbox,
     ) {
         self.check_stall(now, out);
@@ -154,47 +125,14 @@
             self.seat_status = SeatStatus::Confirmed;
         }
         if self.seat_status == SeatStatus::Confirmed {
-            self.apply_base_seat(now);
-            self.apply_floor_seats(now);
-        }
-    }
-
-    fn apply_base_seat(&mut self, now: units_time::MonoInstant) {
-        if self.holders.base.as_ref() != Some(&self.me.vm) {
-            self.base = None;
-            self.lease_renewal.clear();
-        } else if self.base.is_none() {
-            let grants_from = now.after(self.options.holder_grant_validity());
-            self.base = Some(holder::Holder::new(self.options, self.contract.base(), grants_from));
-            self.lease_renewal.restart(now);
-        }
-    }
-
-    fn apply_floor_seats(&mut self, now: units_time::MonoInstant) {
-        let (holders, me) = (&self.holders, &self.me);
-        self.floors.retain(|floor| holders.floor(floor.failure_domain()) == Some(&me.vm));
-        for (failure_domain, vm) in &self.holders.floors {
-            let is_held = self.floors.iter().any(|f| f.failure_domain() == failure_domain);
-            if *vm != self.me.vm || is_held {
-                continue;
-            }
-            if let Some(part) = self.contract.floor(failure_domain) {
-                let domain = failure_domain.clone();
-                self.floors.push(floor::Floor::new(self.options, now, domain, part));
-            }
+            self.parts.apply_seats(now, &self.me.vm, &self.holders, &self.contract);
         }
     }
 
     /// Stops using all parts for good; called before the seat records are changed accordingly.
     pub fn release_seats(&mut self) {
         self.seat_status = SeatStatus::Released;
-        self.drop_parts();
-    }
-
-    fn drop_parts(&mut self) {
-        self.base = None;
-        self.floors.clear();
-        self.lease_renewal.clear();
+        self.parts.clear();
     }
 
     /// Charges one request, which waits for a token for at most `wait`.
@@ -206,7 +144,7 @@
     ) -> charge::Charge {
         self.check_stall(now, out);
         let targets = self.targets();
-        let holds_base = self.base.is_some();
+        let holds_base = self.parts.base().is_some();
         let mut effects = charge::Effects::default();
         let charge = self.borrower.request_token(now, wait, &targets, holds_base, &mut effects);
         self.apply(now, effects, out);
@@ -250,7 +188,7 @@
         match body {
             Body::Ask { .. } => self.handle_token_request(now, from, body, out),
             Body::Settle { part, nonce, unspent } => {
-                self.settle(now, from, &part, nonce, unspent);
+                self.parts.settle(now, from, &part, nonce, unspent);
             }
             Body::Grant { part, nonce, tokens, start_after_ms } => {
                 let mut effects = charge::Effects::default();
@@ -269,7 +207,9 @@
                 self.handle_lease_request(now, from, failure_domain, nonce, out);
             }
             Body::LeaseGrant { failure_domain, nonce, lent } => {
-                self.add_lease(now, &failure_domain, nonce, lent);
+                let allowed = self.contract.floor(&failure_domain).unwrap_or_default();
+                let lent = lent.component_min(allowed);
+                self.parts.add_lease(now, &failure_domain, nonce, lent);
             }
         }
     }
@@ -287,14 +227,7 @@
         let borrower = from.clone();
         let (wait, age) = (wait_ms.duration(), age_us.duration());
         let request = holder::TokenRequest { borrower, nonce, needed, prefetch, wait, age };
-        let response = match &part {
-            message::PartName::Base => {
-                self.base.as_mut().map(|base| base.request_tokens(now, &request))
-            }
-            message::PartName::Floor(domain) => {
-                self.floor_mut(domain).map(|floor| floor.request_tokens(now, &request))
-            }
-        };
+        let response = self.parts.request_tokens(now, &part, &request);
         let not_holder = holder::TokenResponse::Denied(message::Denial::NotHolder);
         let body = match response.unwrap_or(not_holder) {
             holder::TokenResponse::Granted { tokens, start_after } => {
@@ -306,32 +239,6 @@
         self.send(&from.vm, Some(from.incarnation), body, out);
     }
 
-    fn floor_mut(&mut self, domain: &id::FailureDomainId) -> Option<&mut floor::Floor> {
-        self.floors.iter_mut().find(|floor| floor.failure_domain() == domain)
-    }
-
-    fn settle(
-        &mut self,
-        now: units_time::MonoInstant,
-        from: &message::Peer,
-        part: &message::PartName,
-        nonce: id::Nonce,
-        unspent: rate::Tokens,
-    ) {
-        match part {
-            message::PartName::Base => {
-                if let Some(base) = &mut self.base {
-                    base.settle(now, from, nonce, unspent);
-                }
-            }
-            message::PartName::Floor(domain) => {
-                if let Some(floor) = self.floor_mut(domain) {
-                    floor.settle(now, from, nonce, unspent);
-                }
-            }
-        }
-    }
-
     fn handle_lease_request(
         &mut self,
         now: units_time::MonoInstant,
@@ -340,39 +247,16 @@
         nonce: id::Nonce,
         out: &mut charge::Outbox,
     ) {
-        let lent = self.floor_mut(&failure_domain).and_then(|floor| floor.lend(now));
-        if let Some(lent) = lent {
+        if let Some(lent) = self.parts.lend(now, &failure_domain) {
             let body = message::Body::LeaseGrant { failure_domain, nonce, lent };
             self.send(&from.vm, Some(from.incarnation), body, out);
         }
     }
 
-    /// Adds a lease to the base part, limited to what this machine's contract allows.
-    fn add_lease(
-        &mut self,
-        now: units_time::MonoInstant,
-        failure_domain: &id::FailureDomainId,
-        nonce: id::Nonce,
-        lent: contract::RateLimit,
-    ) {
-        let Some(requested_at) = self.lease_renewal.end_request(failure_domain, nonce) else {
-            return;
-        };
-        let allowed = self.contract.floor(failure_domain).unwrap_or_default();
-        if let Some(base) = &mut self.base {
-            base.add_lease(now, failure_domain, lent.component_min(allowed), requested_at);
-        }
-    }
-
     /// Performs all actions that are due at `now`.
     pub fn tick(&mut self, now: units_time::MonoInstant, out: &mut charge::Outbox) {
         self.check_stall(now, out);
-        if let Some(base) = &mut self.base {
-            base.advance(now);
-        }
-        for floor in &mut self.floors {
-            floor.advance(now);
-        }
+        self.parts.advance(now);
         self.request_leases(now, out);
         let targets = self.targets();
         let mut effects = charge::Effects::default();
@@ -381,23 +265,15 @@
     }
 
     fn request_leases(&mut self, now: units_time::MonoInstant, out: &mut charge::Outbox) {
-        if self.base.is_none() || now < self.lease_renewal.next_round_at() {
-            return;
-        }
-        self.lease_renewal.start_round(now, self.options.lease_renewal);
-        let floors = self.holders.floors.clone();
-        for (failure_domain, vm) in floors {
-            if self.contract.floor(&failure_domain).is_none() {
-                continue;
-            }
-            let nonce = self.lease_renewal.add_request(now, &failure_domain);
-            self.send(&vm, None, message::Body::LeaseAsk { failure_domain, nonce }, out);
+        for lease_request in self.parts.start_lease_round(now, &self.holders, &self.contract) {
+            let held_parts::LeaseRequest { failure_domain, holder, nonce } = lease_request;
+            self.send(&holder, None, message::Body::LeaseAsk { failure_domain, nonce }, out);
         }
     }
 
     /// Returns the next instant at which [`Self::tick`] has something to do.
     pub fn next_wake(&self) -> Option<units_time::MonoInstant> {
-        let lease = self.base.as_ref().map(|_| self.lease_renewal.next_round_at());
+        let lease = self.parts.next_lease_round_at();
         lease.into_iter().chain(self.borrower.next_wake()).min()
     }
 
@@ -412,7 +288,7 @@
         if self.seat_status != SeatStatus::Released {
             self.seat_status = SeatStatus::Unconfirmed { since: now };
         }
-        self.drop_parts();
+        self.parts.clear();
         let mut effects = charge::Effects::default();
         self.borrower.refuse_all(&mut effects);
         out.decided.append(&mut effects.decided);
--- a/crates/waxwing-contract/src/lib.rs
+++ b/crates/waxwing-contract/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod contract;
 mod demand;
 pub mod floor;
+mod held_parts;
 pub mod holder;
 mod lease_renewal;
 pub mod lender_search;
--- a/crates/waxwing-contract/src/seat.rs
+++ b/crates/waxwing-contract/src/seat.rs
@@ -18,7 +18,6 @@
 use waxwing_units::rendezvous;
 use waxwing_units::time as units_time;
 
-use crate::account;
 use crate::contract;
 use crate::options;
 
@@ -29,6 +28,23 @@
 /// is taken over.
 const TAKEOVER_MARGIN: time::Duration = time::Duration::from_secs(2);
 
+/// Which machines hold the parts of a contract, according to the seat records.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Holders {
+    /// The holder of the base part.
+    pub base: Option<id::VmId>,
+    /// The holders of floor parts, sorted by failure domain.
+    pub floors: Vec<(id::FailureDomainId, id::VmId)>,
+}
+
+impl Holders {
+    /// Returns the holder of the floor part of `failure_domain`.
+    pub fn floor(&self, failure_domain: &id::FailureDomainId) -> Option<&id::VmId> {
+        let at = self.floors.binary_search_by(|(domain, _)| domain.cmp(failure_domain)).ok()?;
+        Some(&self.floors[at].1)
+    }
+}
+
 /// The seat record of one failure domain.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SeatTable {
@@ -57,7 +73,7 @@
 }
 
 /// Returns the holders of the parts of `contract`; `tables` are sorted by failure domain.
-pub fn holders_of(contract: &contract::Contract, tables: &[SeatTable]) -> account::Holders {
+pub fn holders_of(contract: &contract::Contract, tables: &[SeatTable]) -> Holders {
     let holder_in = |domain: &id::FailureDomainId| {
         let at = tables.binary_search_by(|table| table.failure_domain.cmp(domain)).ok()?;
         tables[at].holder(&contract.organisation).cloned()
@@ -67,7 +83,7 @@
         .iter()
         .filter_map(|domain| Some((domain.clone(), holder_in(domain)?)))
         .collect();
-    account::Holders { base: holder_in(&contract.home), floors }
+    Holders { base: holder_in(&contract.home), floors }
 }
 
 /// What one machine knows about the liveness of another, for the decision to take over its seats.
--- a/crates/waxwing-contract/tests/contract/account.rs
+++ b/crates/waxwing-contract/tests/contract/account.rs
@@ -8,6 +8,7 @@
 use waxwing_contract::contract;
 use waxwing_contract::message;
 use waxwing_contract::options;
+use waxwing_contract::seat;
 use waxwing_units::id;
 use waxwing_units::rate;
 use waxwing_units::time as units_time;
@@ -24,8 +25,8 @@
     }
 }
 
-fn holders(base: &str) -> account::Holders {
-    account::Holders { base: Some(vm(base)), floors: Vec::new() }
+fn holders(base: &str) -> seat::Holders {
+    seat::Holders { base: Some(vm(base)), floors: Vec::new() }
 }
 
 fn account(me: &str) -> account::Account {
@@ -171,7 +172,7 @@
     let mut account =
         account::Account::new(options, peer("vm-a"), domain("home"), contract, at_ms(0));
     let holders =
-        account::Holders { base: Some(vm("vm-a")), floors: vec![(domain("other"), vm("vm-b"))] };
+        seat::Holders { base: Some(vm("vm-a")), floors: vec![(domain("other"), vm("vm-b"))] };
     let mut out = charge::Outbox::default();
     account.set_holders(at_ms(0), at_ms(0), holders, &mut out);
     account.tick(at_ms(0), &mut out);
@@ -252,7 +253,7 @@
         account::Account::new(options, peer("vm-b"), domain("far"), contract, at_ms(0));
     let mut out = charge::Outbox::default();
     let floors = vec![(domain("far"), vm("vm-c"))];
-    let holders = account::Holders { base: Some(vm("vm-a")), floors };
+    let holders = seat::Holders { base: Some(vm("vm-a")), floors };
     account.set_holders(at_ms(0), at_ms(0), holders, &mut out);
     let wait = time::Duration::from_millis(500);
     assert!(matches!(account.charge(at_ms(0), wait, &mut out), charge::Charge::Waiting(_)));
--- a/crates/waxwing-measure/src/accuracy.rs
+++ b/crates/waxwing-measure/src/accuracy.rs
@@ -9,10 +9,10 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs;
-use waxwing_contract::account;
 use waxwing_contract::charge;
 use waxwing_contract::contract;
 use waxwing_contract::options;
+use waxwing_contract::seat;
 use waxwing_units::id;
 use waxwing_units::rate;
 
@@ -200,7 +200,7 @@
     }
     let home = (0..FAILURE_DOMAINS).find(|at| domain_id(*at) == contract.home);
     let floors = contract.floor_domains().iter();
-    let holders = account::Holders {
+    let holders = seat::Holders {
         base: home.map(vm_id),
         floors: floors
             .filter_map(|d| {
--- a/crates/waxwing-measure/src/fleet.rs
+++ b/crates/waxwing-measure/src/fleet.rs
@@ -16,6 +16,7 @@
 use waxwing_contract::contract;
 use waxwing_contract::message;
 use waxwing_contract::options;
+use waxwing_contract::seat;
 use waxwing_units::id;
 use waxwing_units::time as units_time;
 
@@ -251,7 +252,7 @@
 
     /// Tells a machine which machines hold the contract's parts, as read from the store at the true
     /// time `read_ns`.
-    pub fn set_holders(&mut self, index: usize, read_ns: u64, holders: account::Holders) {
+    pub fn set_holders(&mut self, index: usize, read_ns: u64, holders: seat::Holders) {
         let now = self.vms[index].clock_at(self.now_ns);
         let read_at = self.vms[index].clock_at(read_ns);
         let mut out = charge::Outbox::default();
--- a/crates/waxwing-measure/tests/contract_bound.rs
+++ b/crates/waxwing-measure/tests/contract_bound.rs
@@ -11,7 +11,6 @@
 use rand::SeedableRng;
 use rand::rngs;
 use rand::seq::IndexedRandom;
-use waxwing_contract::account;
 use waxwing_contract::charge;
 use waxwing_contract::contract;
 use waxwing_contract::options;
@@ -117,7 +116,7 @@
         schedule
     }
 
-    fn holders(&self) -> account::Holders {
+    fn holders(&self) -> seat::Holders {
         seat::holders_of(&self.contracts[0], &self.tables)
     }
 
