test(session): the steering test is paced below its organisation's rate again

At a rate of 50,000/s a wrongful 429 could no longer show, so the check had been eased beyond what the trace allows: 429 is right at 505/s and 533/s of 500/s, not at 462/s.

--- a/crates/waxwing-session/tests/session/steering.rs
+++ b/crates/waxwing-session/tests/session/steering.rs
@@ -1,6 +1,7 @@
 //! Requests are forwarded to another failure domain when their own has no usable backend server;
 //! the share that leaves the region is capped.
 
+use std::thread;
 use std::time;
 
 use serde_json::json;
@@ -10,9 +11,8 @@
 
 const VM: &str = "vm-lautoka-1";
 
-/// The rate of the organisation, above what one caller can send, since these tests send as fast as
-/// they can and are not about limits.
-const RATE: &str = "50000/s";
+/// The requests per second of a caller that stays within its organisation's rate of 500/s.
+const PACED_PER_S: f64 = 475.0;
 
 /// Starts three entry VMs, two in one region and one in another, each with a backend server in its
 /// failure domain.
@@ -29,9 +29,7 @@
          failure_domain: labasa\naddress: {}\nslots: 3\n",
         deployment.backend_address(3)
     );
-    let records = support::records(&deployment)
-        .replace("500/s", RATE)
-        .replace("deadline: 5s", "shift_cap_permille: 500");
+    let records = support::records(&deployment).replace("deadline: 5s", "shift_cap_permille: 500");
     deployment.apply(&format!("{records}\n{labasa}"));
     let key = deployment.issue_key("kiln-1", "kiln");
     for (vm, _) in vms {
@@ -76,6 +74,8 @@
     let started_at = time::Instant::now();
     let (mut sent, mut moved, mut allowed) = (0_u32, 0_u32, 0.0);
     while started_at.elapsed() < time::Duration::from_secs(6) {
+        let due = time::Duration::from_secs_f64(f64::from(sent) / PACED_PER_S);
+        thread::sleep(due.saturating_sub(started_at.elapsed()));
         let seen = send();
         sent += 1;
         // The share that may leave the region grows by half of all traffic in ten seconds. It
@@ -109,7 +109,7 @@
     let callers: Vec<_> = (0..30)
         .map(|_| {
             let request = support::keyed_request("GET", "/ledger/crowd", &key);
-            std::thread::spawn(move || waxwing_stand_ins::caller::call(entry, &request))
+            thread::spawn(move || waxwing_stand_ins::caller::call(entry, &request))
         })
         .collect();
     for caller in callers {
