fix(platform): revisions of the store compare within one era only

Hypotheses: (1) a revision seen before the restoration is issued again to another version, so the conditional read holds by coincidence; (2) an older version is taken from the copy; (3) a lapsed copy on a peer. The lines tell them apart: no older version was put in force, the machine read the store by itself and had been read without error.

Cause: revisions were compared across a restoration, which undoes writes and issues their revisions again. Class: an order used beyond the history that it numbers. The same held for the transaction that registers this machine, and for lease ids (a renewal might have renewed, and an end ended, another machine's lease).

Conditions and lease ids hold within their era; a response of another era is not a result.

--- a/crates/waxwing-platform/src/registry.rs
+++ b/crates/waxwing-platform/src/registry.rs
@@ -27,6 +27,10 @@
     /// The response can't be decoded.
     #[error("invalid response from the store: {0}")]
     Answer(String),
+    /// The store was restored from a copy since the revisions in the call were read; the call
+    /// proves nothing and may be repeated.
+    #[error("the store was restored from a copy")]
+    Restored,
     /// This machine's registration has ended: it expired or was removed.
     #[error("the registration has ended")]
     Ended,
--- a/crates/waxwing-units/src/id.rs
+++ b/crates/waxwing-units/src/id.rs
@@ -160,6 +160,11 @@
     /// A revision of the platform's store, which counts its changes.
     Revision
 );
+number_type!(
+    /// Counts how often the platform's store was restored from a copy. A restoration undoes the
+    /// latest writes and issues their revisions again, so revisions compare within an era only.
+    StoreEra
+);
 number_type!(
     /// Distinguishes the messages of one process, so that duplicates are detected.
     Nonce
--- a/crates/waxwing-vm/src/registration.rs
+++ b/crates/waxwing-vm/src/registration.rs
@@ -27,13 +27,14 @@
 pub async fn keep_registered<R: registry::Registry>(vm: vm::Shared, registry: sync::Arc<R>) {
     let lease = vm.settings().settings.registration_lease.duration();
     let mut failures_in_a_row = 0;
+    let mut may_be_lost = false;
     loop {
         if vm.stage() != vm::Stage::Serving {
             return;
         }
         let requested_at = clock::now();
         let registered = vm.membership.lock().registration();
-        let result = match registered {
+        let result = match registered.filter(|_| !may_be_lost) {
             None => registry.register(&vm.info, lease).await.map(|granted| {
                 log::info!("this machine is registered since {}", granted.created);
                 membership::Registration {
@@ -55,6 +56,7 @@
             Ok(renewal) => {
                 record_registration(&vm, renewal);
                 failures_in_a_row = 0;
+                may_be_lost = false;
                 lease / RENEWALS_PER_LEASE
             }
             Err(registry::Error::Ended) => {
@@ -62,6 +64,11 @@
                 vm.membership.lock().set_registration(None);
                 REREGISTRATION_DELAY
             }
+            Err(registry::Error::Restored) => {
+                log::warn!("the store was restored from a copy; registering again");
+                may_be_lost = true;
+                REREGISTRATION_DELAY
+            }
             Err(error) => {
                 log::info!("can't create or renew the registration: {error}");
                 failures_in_a_row += 1;
