fix(machine): the member list follows the store through a restoration

The member list ignores a list of a lower revision, so after a restoration it stayed as it was until the revisions had caught up: new machines were unknown, machines that had left still counted. Admission compared revisions of two eras: a heartbeat from before the restoration stood for having read a name registered after it, so that parts of rate limits might have been held twice.

A revision now carries its era in its high bits, as revisions of a later era are higher than all of an earlier one; on the wire and in a store that was never restored it stays the number that it was. Members that the first list of an era omits stay until their leases have certainly ended, since they may hold shares until then.

Not covered: a machine that starts after the restoration doesn't know of a lost member.

--- a/crates/waxwing-machine/src/membership.rs
+++ b/crates/waxwing-machine/src/membership.rs
@@ -4,7 +4,9 @@
 //! of the organisations' rate limits, only while its registration is certain to be valid, and only
 //! after every other member has read a revision of the store that names it. So the member list of
 //! each holder names all other holders, in whatever order machines read the store;
-//! `waxwing_contract::share` relies on that.
+//! `waxwing_contract::share` relies on that. A store that was restored from a copy may have lost
+//! registrations that their machines still rely on, so members that it omits stay in the list until
+//! their leases have ended.
 
 use std::net;
 use std::time;
@@ -91,11 +93,20 @@
     link_bandwidth: Option<bandwidth::Bandwidth>,
 }
 
+/// A member that a restored store has lost.
+#[derive(Debug, Clone)]
+struct LostMember {
+    member: Member,
+    /// When its lease has certainly ended.
+    until: units_time::MonoInstant,
+}
+
 /// One machine's view of the fleet, with its own registration.
 #[derive(Debug, Clone)]
 pub struct Membership {
     local_vm: id::VmId,
     member_list: MemberList,
+    lost_members: Vec<LostMember>,
     registration: Option<Registration>,
     heartbeats: Vec<ReceivedHeartbeat>,
 }
@@ -106,6 +117,7 @@
         Self {
             local_vm,
             member_list: MemberList::default(),
+            lost_members: Vec::new(),
             registration: None,
             heartbeats: Vec::new(),
         }
@@ -122,10 +134,26 @@
     }
 
     /// Replaces the member list; a list of an older revision is ignored.
-    pub fn apply_list(&mut self, mut list: MemberList) {
+    ///
+    /// Members that the first list of a new era of the store omits stay for `lease_max`, the longest
+    /// time for which they may still hold shares.
+    pub fn apply_list(
+        &mut self,
+        now: units_time::MonoInstant,
+        lease_max: time::Duration,
+        mut list: MemberList,
+    ) {
         if list.revision < self.member_list.revision {
             return;
         }
+        if list.revision.era() > self.member_list.revision.era() {
+            let known = std::mem::take(&mut self.member_list.members).into_iter();
+            let until = now.after(units_time::extend_by_clock_drift(lease_max));
+            self.lost_members.extend(known.map(|member| LostMember { member, until }));
+        }
+        let is_listed = |vm: &id::VmId| list.members.iter().any(|member| member.about.vm == *vm);
+        self.lost_members.retain(|lost| now < lost.until && !is_listed(&lost.member.about.vm));
+        list.members.extend(self.lost_members.iter().map(|lost| lost.member.clone()));
         list.members.sort_by(|a, b| a.about.vm.cmp(&b.about.vm));
         self.member_list = list;
     }
--- a/crates/waxwing-machine/tests/machine/membership.rs
+++ b/crates/waxwing-machine/tests/machine/membership.rs
@@ -9,6 +9,8 @@
 use waxwing_units::id;
 use waxwing_units::time as units_time;
 
+const LEASE: time::Duration = time::Duration::from_secs(10);
+
 fn at_ms(ms: u64) -> units_time::MonoInstant {
     units_time::MonoInstant(0).after(time::Duration::from_millis(ms))
 }
@@ -60,7 +62,7 @@
     let mut membership = membership_of("a");
     membership.set_registration(Some(registered(5, 1_000)));
     assert!(!membership.update_admission());
-    membership.apply_list(member_list(6, &[("a", 5)]));
+    membership.apply_list(at_ms(0), LEASE, member_list(6, &[("a", 5)]));
     assert!(membership.update_admission());
     assert_eq!(membership.holders(at_ms(0)).map(|holders| holders.len()), Some(1));
 }
@@ -69,7 +71,7 @@
 fn a_joining_machine_waits_until_all_others_have_read_its_name() {
     let mut membership = membership_of("c");
     membership.set_registration(Some(registered(9, 1_000)));
-    membership.apply_list(member_list(9, &[("a", 1), ("b", 2), ("c", 9)]));
+    membership.apply_list(at_ms(0), LEASE, member_list(9, &[("a", 1), ("b", 2), ("c", 9)]));
     membership.record_heartbeat(at_ms(0), heartbeat("a", 9));
     membership.record_heartbeat(at_ms(0), heartbeat("b", 8));
     assert!(!membership.update_admission());
@@ -83,7 +85,7 @@
 fn a_machine_stops_holding_shares_when_its_registration_expires() {
     let mut membership = membership_of("a");
     membership.set_registration(Some(registered(5, 1_000)));
-    membership.apply_list(member_list(6, &[("a", 5)]));
+    membership.apply_list(at_ms(0), LEASE, member_list(6, &[("a", 5)]));
     membership.update_admission();
     assert!(membership.holders(at_ms(999)).is_some());
     assert_eq!(membership.holders(at_ms(1_000)), None);
@@ -92,8 +94,8 @@
 #[test]
 fn an_older_member_list_is_ignored() {
     let mut membership = membership_of("a");
-    membership.apply_list(member_list(9, &[("a", 1), ("b", 2)]));
-    membership.apply_list(member_list(8, &[("a", 1)]));
+    membership.apply_list(at_ms(0), LEASE, member_list(9, &[("a", 1), ("b", 2)]));
+    membership.apply_list(at_ms(0), LEASE, member_list(8, &[("a", 1)]));
     assert_eq!(membership.len(), 2);
 }
 
@@ -161,7 +163,7 @@
         let members: Vec<(&str, u64)> =
             self.names.iter().map(|(name, created)| (name.as_str(), *created)).collect();
         let list = member_list(self.revision, &members);
-        self.machines[at].1.apply_list(list);
+        self.machines[at].1.apply_list(at_ms(0), LEASE, list);
     }
 
     fn send_heartbeat(&mut self, from: usize, to: usize) {
@@ -218,3 +220,40 @@
     membership.record_heartbeat(at_ms(400), heartbeat("b", 2));
     assert_eq!(membership.link_bandwidth(&peer), Some(link));
 }
+
+/// Regression: lists of a restored store were ignored, since its revisions had gone back.
+#[test]
+fn members_that_a_restored_store_lost_are_counted_until_their_leases_have_ended() {
+    let restored = |counter: u64, members: &[(&str, u64)]| membership::MemberList {
+        revision: id::Revision::in_era(id::StoreEra(2), counter),
+        ..member_list(counter, members)
+    };
+    let names = |membership: &membership::Membership| {
+        membership.member_vms().iter().map(ToString::to_string).collect::<Vec<_>>()
+    };
+    let mut membership = membership_of("a");
+    membership.apply_list(at_ms(0), LEASE, member_list(9, &[("a", 1), ("b", 2), ("c", 9)]));
+    membership.apply_list(at_ms(1_000), LEASE, restored(4, &[("a", 1), ("d", 4)]));
+    assert_eq!(names(&membership), ["a", "b", "c", "d"]);
+    membership.apply_list(at_ms(2_000), LEASE, member_list(10, &[("a", 1)]));
+    membership.apply_list(at_ms(9_000), LEASE, restored(6, &[("a", 1), ("c", 6), ("d", 4)]));
+    assert_eq!(names(&membership), ["a", "b", "c", "d"], "a list of the earlier era is ignored");
+    membership.apply_list(at_ms(12_000), LEASE, restored(7, &[("a", 1), ("d", 4)]));
+    assert_eq!(names(&membership), ["a", "d"]);
+}
+
+/// A heartbeat from before the restoration must not stand for having read a later registration.
+#[test]
+fn a_machine_is_not_admitted_by_revisions_of_an_earlier_era() {
+    let created = id::Revision::in_era(id::StoreEra(2), 5);
+    let members = [member("b", 1), membership::Member { created, ..member("a", 0) }];
+    let mut membership = membership_of("a");
+    let list = membership::MemberList { revision: created, members: members.to_vec() };
+    membership.apply_list(at_ms(0), LEASE, list);
+    membership.set_registration(Some(membership::Registration { created, ..registered(0, 9_000) }));
+    membership.record_heartbeat(at_ms(0), heartbeat("b", 900));
+    assert!(!membership.update_admission());
+    let current = membership::Heartbeat { revision: created, ..heartbeat("b", 0) };
+    membership.record_heartbeat(at_ms(0), current);
+    assert!(membership.update_admission());
+}
--- a/crates/waxwing-units/src/id.rs
+++ b/crates/waxwing-units/src/id.rs
@@ -173,3 +173,21 @@
     /// Identifies an operator's change, so that its result can be looked up after a lost response.
     OperationId
 );
+
+/// The position of the era in a revision that is in an era after the first.
+const ERA_SHIFT_BITS: u32 = 48;
+
+impl Revision {
+    /// Returns the revision that the store numbers `counter` in `era`. Revisions of a later era are
+    /// higher than all of an earlier one.
+    ///
+    /// The number of a store that was never restored, whose era is 1 or is not announced, stays.
+    pub const fn in_era(era: StoreEra, counter: u64) -> Self {
+        Self((era.0.saturating_sub(1) << ERA_SHIFT_BITS) | counter)
+    }
+
+    /// Returns the era of the store that the revision is from, at least 1.
+    pub const fn era(self) -> StoreEra {
+        StoreEra((self.0 >> ERA_SHIFT_BITS) + 1)
+    }
+}
--- a/crates/waxwing-vm/src/store_poll.rs
+++ b/crates/waxwing-vm/src/store_poll.rs
@@ -214,7 +214,8 @@
     member_list: membership::MemberList,
 ) {
     vm.store_replica.record_members(known_at, &member_list);
-    vm.membership.lock().apply_list(member_list);
+    let lease_max = vm.settings().settings.registration_lease.duration();
+    vm.membership.lock().apply_list(clock::now(), lease_max, member_list);
 }
 
 /// Applies a list of servers. If another VM could reach the store when it last failed this one, the
