fix(machine): backend servers outlast the restoration of a store's copy, and none returns with it

Servers that registered after the copy was made were dropped at once (only failed calls delayed the removal, and a machine may make none while the store is away); servers that had left since were listed again and would have got requests (DRAIN).

A registration now replaces the absence of its server only if it is newer than the last one seen, by start and sequence; this also covers a heartbeat that reaches the store after its server has left. Machines that copy another one's reads learn of the new era from the revision of its member list.

--- a/crates/waxwing-machine/src/lib.rs
+++ b/crates/waxwing-machine/src/lib.rs
@@ -17,6 +17,7 @@
 //! * [`server_registration`]: registration of a backend server in the store.
 //! * [`server_list`]: versioned list of all registered backend servers, for replication by changes.
 //! * [`entry_choice`]: the entry VMs that a directory names to callers, by their links.
+//! * [`store_history`]: restorations of the store from a copy, as one machine observes them.
 //! * [`store_reader`]: election of the machine that reads the store for its region.
 //! * [`server_set`]: the backend servers in use, through outages of the store.
 //! * [`placement`]: choice among all backend servers of a service by object affinity.
@@ -37,4 +38,5 @@
 pub mod server_order;
 pub mod server_registration;
 pub mod server_set;
+pub mod store_history;
 pub mod store_reader;
--- a/crates/waxwing-machine/tests/machine/server_set.rs
+++ b/crates/waxwing-machine/tests/machine/server_set.rs
@@ -91,3 +91,40 @@
     set.apply_list(at_ms(2_500), vec![registered("s-1", 2)]);
     assert_eq!(set.servers()[0].cold_until, at_ms(2_500));
 }
+
+/// Regression: a restored store listed a server that had left, and it got requests again.
+#[test]
+fn a_server_that_has_left_comes_back_only_with_a_newer_registration() {
+    let mut set = server_set::ServerSet::default();
+    set.apply_list(at_ms(0), vec![registered("s-1", 5), registered("s-2", 5)]);
+    set.apply_list(at_ms(1_000), vec![registered("s-2", 6)]);
+    for (sequence, expected) in [(3, 1), (5, 1), (6, 2)] {
+        let listed = vec![registered("s-1", sequence), registered("s-2", 7)];
+        set.apply_list(at_ms(2_000), listed);
+        assert_eq!(names(&set).len(), expected, "sequence {sequence}");
+    }
+    let restarted = server_registration::ServerRegistration {
+        started: id::Incarnation(200),
+        ..registered("s-1", 1)
+    };
+    set.apply_list(at_ms(3_000), vec![registered("s-2", 8)]);
+    set.apply_list(at_ms(4_000), vec![restarted]);
+    assert_eq!(names(&set), ["s-1"], "a new start has a new order");
+}
+
+#[test]
+fn servers_that_a_restored_store_lost_stay_until_live_ones_had_time_to_register() {
+    let draining = |sequence| server_registration::ServerRegistration {
+        state: server_registration::State::Draining,
+        ..registered("s-2", sequence)
+    };
+    let mut set = server_set::ServerSet::default();
+    set.apply_list(at_ms(0), vec![registered("s-1", 5), draining(5)]);
+    set.record_restoration(at_ms(5_000));
+    set.clear_store_failure();
+    set.apply_list(at_ms(6_000), vec![registered("s-2", 2)]);
+    assert_eq!(names(&set), ["s-1", "s-2"]);
+    assert_eq!(set.servers()[1].registration.state, server_registration::State::Draining);
+    set.apply_list(at_ms(7_200), vec![draining(6)]);
+    assert_eq!(names(&set), ["s-2"]);
+}
--- a/crates/waxwing-platform/src/registry.rs
+++ b/crates/waxwing-platform/src/registry.rs
@@ -60,6 +60,9 @@
 ///
 /// All reads and writes are linearizable.
 pub trait Registry {
+    /// Returns the newest era of the store that any response was from.
+    fn era(&self) -> id::StoreEra;
+
     /// Reads the configuration.
     ///
     /// # Errors
--- a/crates/waxwing-units/src/id.rs
+++ b/crates/waxwing-units/src/id.rs
@@ -177,17 +177,22 @@
 /// The position of the era in a revision that is in an era after the first.
 const ERA_SHIFT_BITS: u32 = 48;
 
+impl StoreEra {
+    /// The era of a store that was never restored or announces none.
+    pub const FIRST: Self = Self(1);
+}
+
 impl Revision {
     /// Returns the revision that the store numbers `counter` in `era`. Revisions of a later era are
     /// higher than all of an earlier one.
     ///
-    /// The number of a store that was never restored, whose era is 1 or is not announced, stays.
+    /// In the first era it is the number itself.
     pub const fn in_era(era: StoreEra, counter: u64) -> Self {
-        Self((era.0.saturating_sub(1) << ERA_SHIFT_BITS) | counter)
+        Self((era.0.saturating_sub(StoreEra::FIRST.0) << ERA_SHIFT_BITS) | counter)
     }
 
-    /// Returns the era of the store that the revision is from, at least 1.
+    /// Returns the era of the store that the revision is from.
     pub const fn era(self) -> StoreEra {
-        StoreEra((self.0 >> ERA_SHIFT_BITS) + 1)
+        StoreEra((self.0 >> ERA_SHIFT_BITS) + StoreEra::FIRST.0)
     }
 }
--- a/crates/waxwing-vm/src/store_poll.rs
+++ b/crates/waxwing-vm/src/store_poll.rs
@@ -167,10 +167,9 @@
         match result {
             Ok(listed) => {
                 vm.record_store_success();
+                vm.enter_store_era(registry.era());
                 apply_servers(&vm, &server_set, requested_at, None, listed);
-                if vm.is_store_reader()
-                    && server_set.lock().last_store_failure(clock::now()).is_some()
-                {
+                if vm.is_store_reader() && server_set.lock().is_unsettled(clock::now()) {
                     timer::sleep(UNSETTLED_POLL_INTERVAL).await;
                     continue;
                 }
@@ -213,6 +212,7 @@
     known_at: units_time::MonoInstant,
     member_list: membership::MemberList,
 ) {
+    vm.enter_store_era(member_list.revision.era());
     vm.store_replica.record_members(known_at, &member_list);
     let lease_max = vm.settings().settings.registration_lease.duration();
     vm.membership.lock().apply_list(clock::now(), lease_max, member_list);
@@ -232,6 +232,9 @@
     {
         known_servers.clear_store_failure();
     }
+    if let Some(restored_at) = vm.store_history.lock().unsettled_since(now) {
+        known_servers.record_restoration(restored_at);
+    }
     known_servers.apply_list(now, listed);
     vm.has_servers.store(true, atomic::Ordering::Release);
 }
@@ -254,8 +257,13 @@
                     .await
             }
         }
-        wait_for_direct_read(&vm, members_poll_interval(&vm), || vm.store_replica.members_at())
-            .await;
+        // Other VMs learn of a new era from the revision of the member list.
+        let known_at = || {
+            let newest_era = vm.store_history.lock().era();
+            let list_era = vm.membership.lock().revision().era();
+            vm.store_replica.members_at().filter(|_| newest_era <= Some(list_era))
+        };
+        wait_for_direct_read(&vm, members_poll_interval(&vm), known_at).await;
     }
 }
 
--- a/crates/waxwing-vm/src/store_replica.rs
+++ b/crates/waxwing-vm/src/store_replica.rs
@@ -309,6 +309,9 @@
                 configuration,
             );
         }
+        if let Some(member_update) = &update.members {
+            vm.enter_store_era(member_update.revision.era());
+        }
         if let Some(server_update) = update.servers {
             self.servers.apply(server_update.changes);
             let listed = self.servers.servers().to_vec();
--- a/crates/waxwing-vm/src/vm.rs
+++ b/crates/waxwing-vm/src/vm.rs
@@ -9,6 +9,7 @@
 use waxwing_contract::message;
 use waxwing_machine::entry_vm;
 use waxwing_machine::membership;
+use waxwing_machine::store_history;
 use waxwing_process::clock;
 use waxwing_process::log_limiter;
 use waxwing_request::budget;
@@ -100,6 +101,8 @@
     pub active_configuration: Mutex<ActiveConfiguration>,
     /// The last known contents of the store, which other VMs replicate.
     pub store_replica: store_replica::StoreReplica,
+    /// The restorations of the store.
+    pub store_history: Mutex<store_history::StoreHistory>,
     /// Whether the last call to the store succeeded.
     pub reaches_store: atomic::AtomicBool,
     /// Whether another VM has a newer configuration, so that this one has to read the store.
@@ -154,6 +157,7 @@
             adapter,
             active_configuration: Mutex::default(),
             store_replica: store_replica::StoreReplica::default(),
+            store_history: Mutex::default(),
             reaches_store: atomic::AtomicBool::new(true),
             needs_newer_table: atomic::AtomicBool::new(false),
             has_servers: atomic::AtomicBool::new(false),
@@ -259,6 +263,13 @@
         *self.last_store_response_at.lock() = clock::now();
     }
 
+    /// Records the era of a response of the store, read by this VM or another one.
+    pub fn enter_store_era(&self, era: id::StoreEra) {
+        if self.store_history.lock().enter_era(clock::now(), era) {
+            log::warn!("the store was restored from a copy; it is in era {era}");
+        }
+    }
+
     /// Returns whether this VM reads the store on behalf of its region; it does so too if no reader
     /// is known.
     pub fn is_store_reader(&self) -> bool {
