fix(vm): a restored store confirms nothing before lost writes had time to return

A read of the store counted as proof that no newer version, withdrawal or evacuation exists. After a restoration it proves no more than the copy holds: a key withdrawn since would have been accepted until the operator's write came back (CONFIG, keys), and an evacuation that the copy lacks would have ended (EVAC).

For 2.1 s after a restoration was observed, and while the store holds an older version than the one in force, reads bring newer versions and further evacuations but confirm nothing and end nothing; keyed requests are then refused as not run once the last proof is withdrawal_max old. The store is asked again every 200 ms meanwhile.

--- a/crates/waxwing-platform/src/registry.rs
+++ b/crates/waxwing-platform/src/registry.rs
@@ -41,6 +41,8 @@
 pub struct ConfigurationUpdate {
     /// The newest routing table; `None` if it has not changed since the last call.
     pub table: Option<table::Table>,
+    /// The version that the store holds; `None` if it holds none that can be decoded.
+    pub stored_version: Option<table::Version>,
     /// All failure domains whose backend servers get no requests, sorted.
     pub evacuated: Vec<id::FailureDomainId>,
 }
--- a/crates/waxwing-vm/src/store_poll.rs
+++ b/crates/waxwing-vm/src/store_poll.rs
@@ -24,8 +24,8 @@
 /// The longest interval between two reads of the configuration or the backend servers.
 const POLL_INTERVAL_MAX: time::Duration = time::Duration::from_secs(1);
 
-/// How soon backend servers are read again after an outage of the store, while servers that are
-/// missing may still register again.
+/// How soon the store is read again while it may lack what was written before: after an outage, in
+/// which registrations may have expired, and after a restoration.
 const UNSETTLED_POLL_INTERVAL: time::Duration = time::Duration::from_millis(200);
 
 /// How often a VM checks whether it has become the reader of its region.
@@ -47,7 +47,12 @@
         vm.counters.count_store_call("configuration", result.is_ok());
         record_store_call(&vm, "configuration", &mut failures_in_a_row, result.as_ref().err());
         match result {
-            Ok(update) => activate(&vm, update, requested_at),
+            Ok(update) => {
+                vm.enter_store_era(registry.era());
+                if !activate(&vm, update, requested_at) {
+                    timer::sleep(UNSETTLED_POLL_INTERVAL).await;
+                }
+            }
             Err(_) => {
                 timer::sleep(store_reader::retry_backoff(failures_in_a_row, vm.is_store_reader()))
                     .await
@@ -108,12 +113,16 @@
 }
 
 /// Puts a newer configuration in force; an older one is ignored.
+///
+/// Returns whether the store confirmed the configuration: it does not while it may lack writes that
+/// a restoration undid.
 fn activate(
     vm: &vm::Vm,
     update: registry::ConfigurationUpdate,
     requested_at: units_time::MonoInstant,
-) {
-    let has_changed = {
+) -> bool {
+    let has_settled = vm.store_history.lock().unsettled_since(requested_at).is_none();
+    let (has_changed, is_confirmed) = {
         let mut active = vm.active_configuration.lock();
         let mut has_changed = false;
         if let Some(table) = update.table {
@@ -124,12 +133,18 @@
                 has_changed = true;
             }
         }
-        has_changed | active.confirm(requested_at, update.evacuated)
+        let is_confirmed = has_settled && !active.is_newer_than(update.stored_version);
+        has_changed |= match is_confirmed {
+            true => active.confirm(requested_at, update.evacuated),
+            false => active.add_evacuated(update.evacuated),
+        };
+        (has_changed, is_confirmed)
     };
     vm.needs_newer_table.store(false, atomic::Ordering::Release);
     if has_changed {
         reconcile::update_shares(vm);
     }
+    is_confirmed
 }
 
 /// Applies what another VM knows of the configuration.
--- a/crates/waxwing-vm/src/vm.rs
+++ b/crates/waxwing-vm/src/vm.rs
@@ -54,6 +54,30 @@
 }
 
 impl ActiveConfiguration {
+    /// Returns whether this configuration is newer than `version`; false if that is unknown.
+    pub fn is_newer_than(&self, version: Option<table::Version>) -> bool {
+        let active = self.table.as_ref().map(|table| table.version());
+        version.is_some_and(|version| active > Some(version))
+    }
+
+    /// Adds evacuated failure domains that a store query found which proves nothing about the end
+    /// of other evacuations; returns whether any is new.
+    pub fn add_evacuated(&mut self, more: Vec<id::FailureDomainId>) -> bool {
+        let mut evacuated = [self.evacuated.clone(), more].concat();
+        evacuated.sort();
+        evacuated.dedup();
+        self.set_evacuated(evacuated)
+    }
+
+    fn set_evacuated(&mut self, evacuated: Vec<id::FailureDomainId>) -> bool {
+        let has_changed = evacuated != self.evacuated;
+        if has_changed {
+            log::info!("evacuated failure domains: {evacuated:?}");
+            self.evacuated = evacuated;
+        }
+        has_changed
+    }
+
     /// Records that a store query sent at `requested_at` found no newer configuration, and which
     /// failure domains were evacuated; returns whether those have changed.
     ///
@@ -67,12 +91,7 @@
             return false;
         }
         self.confirmed_at = Some(requested_at);
-        let has_changed = evacuated != self.evacuated;
-        if has_changed {
-            log::info!("evacuated failure domains: {evacuated:?}");
-            self.evacuated = evacuated;
-        }
-        has_changed
+        self.set_evacuated(evacuated)
     }
 }
 
