fix(keeper): new records come with their confirmation

What callers saw: nothing until now.

Cause: a keeper told its entry process and its peers of records before it had noted that they are the store's newest; that went out with the next heartbeat, at most 5.2 s later.

Why it works: the confirmation is noted first (it counts once the records are in force), sent to the processes of the machine right after the records, and carried by the heartbeats that announce them.

--- a/crates/waxwing-keeper/src/keeper.rs
+++ b/crates/waxwing-keeper/src/keeper.rs
@@ -128,6 +128,7 @@
         let revision = record_set.revision;
         self.reporter.report(event::Kind::RecordsInForce { revision, source });
         self.connections.broadcast_records(&record_set.snapshot);
+        self.publish_confirmed();
         heartbeats::send_round(self);
     }
 
--- a/crates/waxwing-keeper/src/platform.rs
+++ b/crates/waxwing-keeper/src/platform.rs
@@ -68,8 +68,9 @@
     record_store_state(keeper, true);
     let record_set = records::RecordSet::from_listing(&listing);
     let revision = record_set.revision;
-    keeper.apply_records(record_set, event::Source::Store, read_at);
+    // Confirmed first, so that what tells others of the records carries the confirmation.
     keeper.records.confirm(revision, read_at);
+    keeper.apply_records(record_set, event::Source::Store, read_at);
     confirm_seats(keeper, revision, read_at);
     loop {
         let watched_at = clock::now();
