fix(entry): outdated records deny no request for good

What callers saw: an entry VM that had lost the store for longer than a change may take went on to answer 404, 401, 403 and 413, after which callers don't come back, for services, keys and limits that newer records may have brought.

What fell under NoRecords and KeysStale was not affected.

Ruled out: keepers that don't watch the store (heartbeats carry the confirmation, each 5.2 s at most); a watch that confirms late (it returns each 2 s).

Evidence: configuration::outdated_records_deny_no_request_for_good failed before: "left: [404, 401, 403, 413] right: [503, 503, 503, 503]", and passes now.

Why it works: a request is rejected for good only if the records were confirmed within 18 s before its arrival, the time within which a change has to be in force everywhere. Otherwise the answer is 503, as not run, with a Retry-After.

--- a/crates/waxwing-entry/src/forward.rs
+++ b/crates/waxwing-entry/src/forward.rs
@@ -37,6 +37,7 @@
     let in_flight = entry::InFlightGuard::begin(&entry.in_flight);
     let request_id = headers::request_id(request.headers()).unwrap_or_else(new_request_id);
     report_received(&entry, &request, &request_id);
+    let allows_denial = request_admission::allows_denials(&entry, received_at);
     let mut organisation = None;
     let result = match request_admission::admit(
         &entry,
@@ -51,6 +52,10 @@
         Err(refusal) => Err(refusal),
     };
     let response = result.unwrap_or_else(|refusal| {
+        let refusal = match refusal.depends_on_records() && !allows_denial {
+            true => refusal::Refusal::RecordsStale,
+            false => refusal,
+        };
         let context = journal::Context { request: Some(request_id.clone()), organisation };
         report_ended(&entry, context, refusal.outcome(), refusal.status().as_u16(), received_at);
         refusal.response(&request_id)
--- a/crates/waxwing-entry/src/refusal.rs
+++ b/crates/waxwing-entry/src/refusal.rs
@@ -12,6 +12,9 @@
 
 use crate::headers;
 
+/// The retry delay if another entry VM may be able to serve the caller now; whole seconds.
+const ELSEWHERE_RETRY_S: u64 = 1;
+
 /// Milliseconds per second.
 const MS_PER_S: u64 = 1_000;
 
@@ -24,6 +27,11 @@
     /// This VM has not received any records from its keeper yet.
     #[error("this entry VM has no records yet; use another one")]
     NoRecords,
+    /// The records do not allow the request, but are too old to exclude that newer ones do.
+    #[error(
+        "the records of this entry VM are out of date and do not allow the request; use another one"
+    )]
+    RecordsStale,
     /// The first segment of the path is not the name of a service.
     #[error("there is no such service; the path begins with the name of one")]
     UnknownService,
@@ -117,6 +125,23 @@
         }
     }
 
+    /// Returns whether newer records may allow the request.
+    pub const fn depends_on_records(&self) -> bool {
+        matches!(
+            self,
+            Self::UnknownService | Self::MissingKey | Self::UnknownKey | Self::BodyTooLarge { .. }
+        )
+    }
+
+    /// Returns the number of seconds after which a retry makes sense, if it is known.
+    fn retry_after_s(&self) -> Option<u64> {
+        match self {
+            Self::Exhausted { retry_after_ms } => Some(retry_after_ms.div_ceil(MS_PER_S).max(1)),
+            Self::RecordsStale => Some(ELSEWHERE_RETRY_S),
+            _ => None,
+        }
+    }
+
     /// Returns the HTTP status of the response to the caller.
     pub const fn status(&self) -> http::StatusCode {
         match self {
@@ -130,6 +155,7 @@
             Self::Exhausted { .. } => http::StatusCode::TOO_MANY_REQUESTS,
             Self::ShuttingDown
             | Self::NoRecords
+            | Self::RecordsStale
             | Self::KeysStale
             | Self::ContractUnreachable
             | Self::QueueFull
@@ -171,8 +197,7 @@
         let mut builder = web::HttpResponse::build(self.status());
         builder.header(headers::OUTCOME, self.outcome().to_string());
         builder.header(headers::REQUEST_ID, request_id.as_str());
-        if let Self::Exhausted { retry_after_ms } = self {
-            let seconds = retry_after_ms.div_ceil(MS_PER_S).max(1);
+        if let Some(seconds) = self.retry_after_s() {
             builder.header(http::header::RETRY_AFTER, seconds.to_string());
         }
         builder.content_type("text/plain; charset=utf-8");
--- a/crates/waxwing-entry/src/request_admission.rs
+++ b/crates/waxwing-entry/src/request_admission.rs
@@ -12,6 +12,7 @@
 use waxwing_process::timer;
 use waxwing_record::record;
 use waxwing_request::attempt;
+use waxwing_route::staleness;
 use waxwing_timeline::event;
 use waxwing_timeline::journal;
 use waxwing_units::digest;
@@ -25,6 +26,9 @@
 /// The time that the keeper has for its response beyond the wait for a token.
 pub(crate) const KEEPER_RESPONSE_MARGIN: time::Duration = time::Duration::from_millis(200);
 
+/// How soon changed records have to be in force on all entry VMs.
+const RECORDS_APPLY_MAX: time::Duration = time::Duration::from_secs(18);
+
 /// The result of a step in handling a request.
 pub(crate) type Result<T> = std::result::Result<T, refusal::Refusal>;
 
@@ -64,6 +68,13 @@
     }
 }
 
+/// Returns whether a request that arrived at `received_at` may be rejected for good because of what
+/// the records do not allow.
+pub(crate) fn allows_denials(entry: &entry::Entry, received_at: units_time::MonoInstant) -> bool {
+    let confirmed_at = entry.keeper.view().confirmed_at;
+    staleness::allows_denials(received_at, confirmed_at, RECORDS_APPLY_MAX)
+}
+
 /// Checks a request that another entry VM has authenticated, charged and forwarded.
 pub(crate) fn admit_forwarded(
     entry: &entry::Entry,
--- a/crates/waxwing-session/tests/session/configuration.rs
+++ b/crates/waxwing-session/tests/session/configuration.rs
@@ -11,6 +11,9 @@
 
 use crate::support;
 
+/// The longest time until a change has taken effect on all entry VMs.
+const PROPAGATION_MAX: time::Duration = time::Duration::from_secs(18);
+
 fn revision(deployment: &deployment::Deployment, vm: &str) -> u64 {
     let status = deployment.get_json(deployment.admin_address(vm, "waxwing-keeper"), "/status");
     status["revision"].as_u64().expect("a revision")
@@ -217,9 +220,6 @@
     );
 }
 
-/// The longest time until a change has taken effect on all entry VMs.
-const PROPAGATION_MAX: time::Duration = time::Duration::from_secs(18);
-
 #[test]
 fn vms_that_do_not_watch_the_store_get_changes_from_those_that_do() {
     let mut deployment = deployment::Deployment::start(28);
@@ -245,3 +245,35 @@
     println!("in effect on six entry VMs after {slowest:?} at most");
     assert!(slowest < PROPAGATION_MAX, "{slowest:?}");
 }
+
+/// Regression: an entry VM without access to the store rejected requests for good that only newer
+/// records allow.
+#[test]
+fn outdated_records_deny_no_request_for_good() {
+    let (deployment, key) = support::start(29);
+    let get = |path| caller::Request::new("GET", path);
+    let rows = [
+        (get("/added-later/a"), 404),
+        (get("/ledger/a"), 401),
+        (support::keyed_request("GET", "/ledger/a", "key-issued-later"), 403),
+        (caller::Request::new("POST", "/hours/a").body(vec![b'x'; 4_096]), 413),
+    ];
+    let status = |request: &caller::Request| {
+        let response = caller::call(deployment.entry_address(support::VMS[0]), request);
+        let response = response.expect("a response");
+        let is_retryable = response.header("waxwing-outcome") == "not-run"
+            && !response.header("retry-after").is_empty();
+        assert_eq!(response.status == 503, is_retryable, "{}", support::describe(&response));
+        response.status
+    };
+    let statuses = || rows.iter().map(|(request, _)| status(request)).collect::<Vec<_>>();
+    let denied: Vec<u16> = rows.iter().map(|(_, status)| *status).collect();
+    assert_eq!(statuses(), denied);
+    set_faults(&deployment, &json!({"is_out": true}));
+    thread::sleep(PROPAGATION_MAX);
+    assert_eq!(statuses(), [503; 4]);
+    let known = support::keyed_request("GET", "/ledger/a", &key);
+    assert_eq!(status(&known), 200, "what the records allow is still served");
+    set_faults(&deployment, &json!({}));
+    deployment::wait_until("the records are confirmed again", || statuses() == denied);
+}
