fix(entry): a keeper without records denies no request for good

What callers saw: after the keeper of a machine had restarted while neither the store nor a peer could give it records, each request with a valid key was answered 403.

Cause: such a keeper knows no organisation, and the entry process took its word for the key's.

Ruled out: that this hides a removed organisation: the keeper sends the records without it to the entry process, which then answers 403 by itself.

Evidence: failures::a_keeper_without_records_denies_no_request_for_good failed before: "403 not-run: the key is not known or was withdrawn".

Why it works: the entry process has found the organisation in its own records, so a keeper that does not know it can't tell whether it has tokens: 503, as not run.

--- a/crates/waxwing-entry/src/refusal.rs
+++ b/crates/waxwing-entry/src/refusal.rs
@@ -104,8 +104,12 @@
 impl From<client::Error> for Refusal {
     fn from(error: client::Error) -> Self {
         match error {
-            client::Error::KeeperUnavailable => Self::ContractUnreachable,
-            client::Error::Refused(local::ChargeRefusal::UnknownOrganisation) => Self::UnknownKey,
+            // The organisation is in the records of this process, which came from the keeper: the
+            // keeper has restarted since, or has newer records that arrive here next.
+            client::Error::KeeperUnavailable
+            | client::Error::Refused(local::ChargeRefusal::UnknownOrganisation) => {
+                Self::ContractUnreachable
+            }
             client::Error::Refused(local::ChargeRefusal::Contract(refusal)) => match refusal {
                 charge::Refusal::Exhausted { retry_after_ms } => {
                     Self::Exhausted { retry_after_ms: retry_after_ms.0 }
--- a/crates/waxwing-session/tests/session/failures.rs
+++ b/crates/waxwing-session/tests/session/failures.rs
@@ -5,6 +5,7 @@
 use std::thread;
 use std::time;
 
+use serde_json::json;
 use waxwing_session::deployment;
 use waxwing_stand_ins::caller;
 
@@ -229,3 +230,27 @@
     println!("refused for {longest_gap:?} at most while seats were handed over");
     assert!(longest_gap < HANDOVER_MAX, "{longest_gap:?}");
 }
+
+/// Regression: a keeper that had restarted without records refused the charges of all organisations
+/// as unknown, so that requests with valid keys were rejected for good.
+#[test]
+fn a_keeper_without_records_denies_no_request_for_good() {
+    let (mut deployment, key) = support::start(38);
+    let out = json!({"is_out": true});
+    deployment.post_json(deployment.platform_address(), "/control/faults", &out);
+    for vm in support::VMS {
+        deployment.kill(&format!("{vm}.waxwing-keeper"));
+    }
+    deployment.start_process(support::VMS[0], "waxwing-keeper");
+    let send = || {
+        let request = support::keyed_request("GET", "/ledger/a", &key);
+        support::send(&deployment, support::VMS[0], request)
+    };
+    for _ in 0..20 {
+        let seen = send();
+        assert!(seen.starts_with("503 not-run"), "{seen}");
+        thread::sleep(time::Duration::from_millis(50));
+    }
+    deployment.post_json(deployment.platform_address(), "/control/faults", &json!({}));
+    support::wait_until_serving(&deployment, support::VMS[0], &key);
+}
