fix(vm): a key that moves to another organisation is not rejected

What callers saw: 401 for a request whose key was valid all the time, where the configuration gave the key to another organisation while the request's body arrived or while it waited.

Cause: the request is charged by the table of its arrival; before each attempt the key is checked again by the table in force, and an owner other than the charged one counted as an unknown key.

Ruled out: a route that becomes open or keyed meanwhile (the route of the arrival is used); a key that is withdrawn keeps its 401.

Evidence: a_key_that_moves_to_another_organisation_is_not_rejected failed before with "Response { status: 401 ... "the key is missing, not known or was withdrawn" }, right: (503, 0)".

Why it works: it is refused as not run, with a Retry-After, and charged to the new owner when it comes back; the token of the former owner is returned as with each refusal before an attempt.

--- a/crates/waxwing-vm/src/refusal.rs
+++ b/crates/waxwing-vm/src/refusal.rs
@@ -35,6 +35,10 @@
     /// The key is missing, unknown or withdrawn.
     #[error("the key is missing, not known or was withdrawn")]
     UnknownKey,
+    /// The request was charged to an organisation to which its key no longer belongs; it may be
+    /// admitted again for the one to which it does.
+    #[error("the key belongs to another organisation now")]
+    OrganisationChanged,
     /// The configuration was last confirmed too long ago to exclude that the key was withdrawn
     /// since.
     #[error("it can't be told whether the key was withdrawn")]
@@ -112,6 +116,7 @@
             Self::ShuttingDown
             | Self::NoConfiguration
             | Self::ConfigurationStale
+            | Self::OrganisationChanged
             | Self::KeysStale
             | Self::BodyMemoryFull => Some(ELSEWHERE_RETRY),
             Self::NotCharged(
--- a/crates/waxwing-vm/src/request_admission.rs
+++ b/crates/waxwing-vm/src/request_admission.rs
@@ -221,8 +221,8 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the key no longer belongs to the charged organisation, or if the
-/// configuration is missing or too old to determine that.
+/// Returns an error if the key was withdrawn or belongs to another organisation than the charged
+/// one, or if the configuration is missing or too old to determine that.
 pub fn recheck_key(vm: &vm::Vm, request: &AdmittedRequest) -> refusal::Result<()> {
     let Some(organisation) = &request.organisation else {
         return Ok(());
@@ -231,7 +231,7 @@
     let caller = authenticate(vm, &table, &request.route, &request.incoming)?;
     match caller.as_ref() == Some(organisation) {
         true => Ok(()),
-        false => Err(refusal::Refusal::UnknownKey),
+        false => Err(refusal::Refusal::OrganisationChanged),
     }
 }
 
