fix(entry): a key that moves to another organisation is not rejected

The same fault as in waxwing-vm, found by review: a request that waits for a token while the records give its key to another organisation was answered 403. It is refused with 503, as not run, with a Retry-After.

--- a/crates/waxwing-entry/src/refusal.rs
+++ b/crates/waxwing-entry/src/refusal.rs
@@ -38,9 +38,13 @@
     /// The service needs a key and the request has none.
     #[error("this service needs a key; send it in the header {}", headers::KEY)]
     MissingKey,
-    /// The key is unknown or withdrawn, or no longer belongs to the charged organisation.
+    /// The key is unknown or withdrawn.
     #[error("the key is not known or was withdrawn")]
     UnknownKey,
+    /// The request was charged to an organisation to which its key no longer belongs; it may be
+    /// admitted again for the one to which it does.
+    #[error("the key belongs to another organisation now")]
+    OrganisationChanged,
     /// The records were last confirmed longer ago than the service allows, so the key may have been
     /// withdrawn since.
     #[error(
@@ -141,7 +145,7 @@
     fn retry_after_s(&self) -> Option<u64> {
         match self {
             Self::Exhausted { retry_after_ms } => Some(retry_after_ms.div_ceil(MS_PER_S).max(1)),
-            Self::RecordsStale => Some(ELSEWHERE_RETRY_S),
+            Self::RecordsStale | Self::OrganisationChanged => Some(ELSEWHERE_RETRY_S),
             _ => None,
         }
     }
@@ -160,6 +164,7 @@
             Self::ShuttingDown
             | Self::NoRecords
             | Self::RecordsStale
+            | Self::OrganisationChanged
             | Self::KeysStale
             | Self::ContractUnreachable
             | Self::QueueFull
--- a/crates/waxwing-entry/src/request_admission.rs
+++ b/crates/waxwing-entry/src/request_admission.rs
@@ -243,7 +243,7 @@
     // The key may have been withdrawn while the request waited for a token.
     let key_owner = authenticate(entry, &admitted.service, admitted.key.as_deref())?;
     if key_owner != admitted.organisation {
-        return Err(refusal::Refusal::UnknownKey);
+        return Err(refusal::Refusal::OrganisationChanged);
     }
     entry.reporter.report_with_context(admitted.event_context(), event::Kind::Charged);
     Ok(())
