fix(vm): a request with many headers is not rejected

What callers saw: 431 for a request with more than 96 headers, however short, although the configuration limits the size of a head and not its number of headers.

Cause: the HTTP library's own limit, which was left at its default.

Ruled out: the size: 60 kB of headers in a request are served, the library's limit is 64 KiB.

Evidence: request_heads::unusual_but_valid_requests_are_served failed before with "Response { status: 431 ... } right: 200".

Why it works: the limit is now the number of headers that fit into the largest head that is read.

--- a/crates/waxwing-vm/src/caller_connection.rs
+++ b/crates/waxwing-vm/src/caller_connection.rs
@@ -37,6 +37,9 @@
 /// The most requests of one connection that are handled concurrently.
 const PIPELINED_MAX: usize = 16;
 
+/// The most headers of a request: as many as fit into the largest head that the HTTP library reads.
+const HEADERS_MAX: usize = 16 * 1024;
+
 /// The interim response to a caller that sent `Expect: 100-continue`.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -88,7 +91,8 @@
 /// backend servers.
 pub async fn serve(io: io::IoBoxed, vm: vm::Shared, pool: forward::LocalPool) {
     let state = ConnectionState::default();
-    let codec = h1::Codec::new(0, ntex::Cfg::default());
+    let http = http::HttpServiceConfig::new().set_max_headers(HEADERS_MAX);
+    let codec = h1::Codec::new(0, ntex::SharedCfg::new("caller").add(http).build().into());
     let reader = RequestReader { io: &io, codec, vm: &vm, state: &state, is_finished: false };
     let mut incoming = pin::pin!(stream::unfold(reader, RequestReader::next));
     let mut disconnected = pin::pin!(io.on_disconnect());
