fix(vm): a chunked body with trailers is not rejected

What callers saw: 400 "the body broke off" for a request whose chunked body ends with trailers.

Cause: the HTTP library takes trailers for an error.

Ruled out: chunk extensions, zeros before a size, a size or coding in upper case: served.

Why it works: where the library reports that the empty line is missing after the last chunk, the lines up to it are skipped, up to 16 KiB; trailers concern one connection and are not forwarded. A line that is no header field, or a bare line feed, is rejected as before, and what follows is not read as a request: what_follows_a_chunked_body_is_either_trailers_or_rejected.

--- a/crates/waxwing-vm/src/caller_connection.rs
+++ b/crates/waxwing-vm/src/caller_connection.rs
@@ -7,6 +7,7 @@
 
 use std::cell;
 use std::future::{self, Future};
+use std::io as std_io;
 use std::pin;
 use std::rc;
 use std::task;
@@ -23,6 +24,7 @@
 use waxwing_process::timer;
 
 use crate::forward;
+use crate::trailers;
 use crate::vm;
 
 /// How long a caller's connection may be idle.
@@ -280,18 +282,33 @@
 impl Chunks<'_> {
     async fn next(mut self) -> Option<(forward::Chunk, Self)> {
         let decoder = self.decoder.take()?;
-        match self.io.recv(&decoder).await {
+        let error = match self.io.recv(&decoder).await {
             Ok(Some(h1::PayloadItem::Chunk(bytes))) => {
                 self.decoder = Some(decoder);
-                Some((Ok(bytes), self))
+                return Some((Ok(bytes), self));
             }
-            Ok(Some(h1::PayloadItem::Eof)) => {
-                self.is_complete.set(true);
-                None
+            Ok(Some(h1::PayloadItem::Eof)) => None,
+            Err(ntex_util::Either::Left(error)) if trailers::may_follow(&error) => {
+                reading_error(self.io.recv(&trailers::TrailersDecoder::default()).await)
             }
-            Ok(None) => Some((Err("the caller has gone".to_owned()), self)),
-            Err(ntex_util::Either::Left(error)) => Some((Err(error.to_string()), self)),
-            Err(ntex_util::Either::Right(error)) => Some((Err(error.to_string()), self)),
+            read => reading_error(read),
+        };
+        if let Some(error) = error {
+            return Some((Err(error), self));
         }
+        self.is_complete.set(true);
+        None
+    }
+}
+
+/// Returns why nothing was read; `None` if something was.
+fn reading_error<T>(
+    read: Result<Option<T>, ntex_util::Either<http_error::DecodeError, std_io::Error>>,
+) -> Option<String> {
+    match read {
+        Ok(Some(_)) => None,
+        Ok(None) => Some("the caller has gone".to_owned()),
+        Err(ntex_util::Either::Left(error)) => Some(error.to_string()),
+        Err(ntex_util::Either::Right(error)) => Some(error.to_string()),
     }
 }
--- a/crates/waxwing-vm/src/lib.rs
+++ b/crates/waxwing-vm/src/lib.rs
@@ -8,6 +8,7 @@
 //!   types of this crate.
 //! * [`caller_connection`]: reads pipelined requests from a caller's connection and writes the
 //!   responses in order.
+//! * [`trailers`]: skips the trailers of a caller's chunked body.
 //! * [`forward`]: handles one request, from its arrival to its response, with retries.
 //! * [`access_log`]: the log line and the metrics of one request.
 //! * [`counters`]: the metrics of an entry VM.
@@ -54,4 +55,5 @@
 pub mod settings;
 pub mod store_poll;
 pub mod store_replica;
+pub mod trailers;
 pub mod vm;
