fix(vm): a request that offers an upgrade does not wait for a body

What callers saw: 408 at the end of its time for each request without a body that offers another protocol ("Upgrade: h2c", as some HTTP clients send by default).

Cause: the HTTP library takes all that follows such a head for the stream of the new protocol; the request waited for the end of it. Not a DENIED, as 408 promises that it has not run, but a proper request that was never served.

Ruled out: the same offer with a body that has a length: served before and now.

Why it works: an upgrade may be ignored; without a length the request has no body, and its connection is closed after the response, so nothing behind it is read as a request.

--- a/crates/waxwing-vm/src/caller_connection.rs
+++ b/crates/waxwing-vm/src/caller_connection.rs
@@ -19,6 +19,7 @@
 use ntex::http::body;
 use ntex::http::error as http_error;
 use ntex::http::h1;
+use ntex::http::header;
 use ntex::io;
 use ntex::util as ntex_util;
 use waxwing_process::timer;
@@ -249,8 +250,11 @@
         request: http::Request,
         payload: h1::PayloadType,
     ) -> forward::PendingRequest {
+        let has_length = request.head().headers().contains_key(header::CONTENT_LENGTH);
         let decoder = match payload {
             h1::PayloadType::None => None,
+            // The upgrade that the caller asks for is not made, so no bytes belong to it.
+            h1::PayloadType::Stream(_) if !has_length => None,
             h1::PayloadType::Payload(decoder) | h1::PayloadType::Stream(decoder) => Some(decoder),
         };
         if decoder.is_some() && request.head().expect() && self.state.pending_responses.get() == 0 {
