fix(entry): a slow body is a timeout, not an invalid request

What callers saw: 400 for a short body that did not arrive within the request's timeout, after which callers don't come back.

Ruled out: streams (504 or 502, as before).

Evidence: responses::a_slow_body_is_reported_as_a_timeout_and_not_run failed before: "Response { status: 400 ... the upload broke off (not-run)".

Why it works: nothing of a buffered body is sent before it is whole, so the request has not run and never will: 408.

--- a/crates/waxwing-entry/src/refusal.rs
+++ b/crates/waxwing-entry/src/refusal.rs
@@ -86,8 +86,11 @@
     /// The organisation's queue for slots of the service is full.
     #[error("too many requests of the organisation wait already")]
     QueueFull,
-    /// The caller's body ended early, did not arrive before the request's deadline, or turned out
-    /// to exceed the service's limit after a part of it was sent.
+    /// The caller's body did not arrive before the request's deadline, and nothing of it was sent.
+    #[error("the body did not arrive in time")]
+    BodyTimeout,
+    /// The caller's body ended early, or turned out to exceed the service's limit after a part of
+    /// it was sent.
     #[error("the upload broke off ({outcome})")]
     BodyIncomplete {
         /// Whether the request may have run.
@@ -159,6 +162,7 @@
             Self::KeyInPath | Self::InvalidTimeout | Self::BodyIncomplete { .. } => {
                 http::StatusCode::BAD_REQUEST
             }
+            Self::BodyTimeout => http::StatusCode::REQUEST_TIMEOUT,
             Self::BodyTooLarge { .. } => http::StatusCode::PAYLOAD_TOO_LARGE,
             Self::Exhausted { .. } => http::StatusCode::TOO_MANY_REQUESTS,
             Self::ShuttingDown
--- a/crates/waxwing-entry/src/request_body.rs
+++ b/crates/waxwing-entry/src/request_body.rs
@@ -38,9 +38,7 @@
         Some(len_bytes) if len_bytes <= BUFFERED_BODY_MAX_BYTES => {
             let reading = read_all(payload, len_bytes);
             let read = timer::timeout(admitted.time_left(), reading).await;
-            let outcome = outcome::Outcome::NotRun;
-            read.unwrap_or(Err(refusal::Refusal::BodyIncomplete { outcome }))
-                .map(RequestBody::Buffered)
+            read.unwrap_or(Err(refusal::Refusal::BodyTimeout)).map(RequestBody::Buffered)
         }
         _ => Ok(RequestBody::Streamed(Some(payload))),
     }
--- a/crates/waxwing-session/tests/session/responses.rs
+++ b/crates/waxwing-session/tests/session/responses.rs
@@ -231,6 +231,21 @@
     }
 }
 
+/// Regression: a body that did not arrive within the timeout was rejected as invalid.
+#[test]
+fn a_slow_body_is_reported_as_a_timeout_and_not_run() {
+    let (deployment, key) = support::start(18);
+    let request = support::keyed_request("POST", "/ledger/slow-body", &key)
+        .header("waxwing-timeout-ms", "300")
+        .body(vec![b'x'; 1_000]);
+    let mut stream = caller::connect(deployment.entry_address(VM)).expect("a connection");
+    stream.write_all(&request.head(true)).expect("sent");
+    stream.write_all(&request.body[..500]).expect("sent");
+    let response = caller::read_response(&mut stream).expect("a response");
+    assert!(support::describe(&response).starts_with("408 not-run"), "{response:?}");
+    assert_eq!(support::run_count(&deployment, 1, "/ledger/slow-body"), 0);
+}
+
 #[test]
 fn invalid_input_is_rejected_and_does_not_affect_later_requests() {
     let (deployment, key) = support::start(16);
