fix(vm): an outdated configuration denies no request at the second check of its key

What callers could see: 401, for good, where the key is checked again before an attempt by a table that itself may be out of date (one that came from another machine while the request waited). Found by review; only where no withdrawal bound is set, since keys are refused with 503 before that otherwise. No test meets it, so it was not seen to fail.

Why it works: the decision stands once, where a refusal becomes a response, and so covers the admission and each attempt; the freshness is that of the request's arrival.

--- a/crates/waxwing-vm/src/forward.rs
+++ b/crates/waxwing-vm/src/forward.rs
@@ -77,6 +77,7 @@
     pending: PendingRequest,
 ) -> web::HttpResponse {
     let PendingRequest { in_flight, request_id, mut log_entry, received } = pending;
+    let allows_denial = received.allows_denial();
     let result = match request_admission::admit(vm, received, &mut log_entry).await {
         Ok(request) => send_with_retries(vm, pool, &request, &mut log_entry).await,
         Err(refusal) => Err(refusal),
@@ -87,6 +88,10 @@
             build_response(response)
         }
         Err(refusal) => {
+            let refusal = match refusal.depends_on_configuration() && !allows_denial {
+                true => refusal::Refusal::ConfigurationStale,
+                false => refusal,
+            };
             let response = vm.adapter.refusal_response(&request_id, &refusal);
             let reason = refusal.to_string();
             log_entry.finish(access_log::Outcome::Refused, response.status().as_u16(), &reason);
--- a/crates/waxwing-vm/src/request_admission.rs
+++ b/crates/waxwing-vm/src/request_admission.rs
@@ -95,13 +95,20 @@
     method: http::Method,
     headers: header::HeaderMap,
     table: Option<sync::Arc<table::Table>>,
-    /// Whether `table` was recent enough at the arrival to reject the request for good.
     allows_denial: bool,
     route: Option<route::Route>,
     deadline: units_time::MonoInstant,
     body: refusal::Result<BufferedBody>,
 }
 
+impl ReceivedRequest {
+    /// Returns whether the configuration was recent enough at the arrival to reject the request for
+    /// good because of what it does not allow.
+    pub const fn allows_denial(&self) -> bool {
+        self.allows_denial
+    }
+}
+
 /// Reads a request's body, within the timeout of its route.
 ///
 /// The body is read before any response, even one that refuses the request, because a response on a
@@ -142,20 +149,6 @@
     vm: &vm::Shared,
     received: ReceivedRequest,
     log_entry: &mut access_log::AccessLogEntry,
-) -> refusal::Result<AdmittedRequest> {
-    let allows_denial = received.allows_denial;
-    check_and_charge(vm, received, log_entry).await.map_err(|refusal| {
-        match refusal.depends_on_configuration() && !allows_denial {
-            true => refusal::Refusal::ConfigurationStale,
-            false => refusal,
-        }
-    })
-}
-
-async fn check_and_charge(
-    vm: &vm::Shared,
-    received: ReceivedRequest,
-    log_entry: &mut access_log::AccessLogEntry,
 ) -> refusal::Result<AdmittedRequest> {
     let ReceivedRequest { incoming, method, headers, table, route, deadline, body, .. } = received;
     if vm.stage() == vm::Stage::Closed {
