test(session): concurrent commands do not read half-written settings

Seen once: of_two_concurrent_changes_one_reports_the_conflicting_record failed with exit code 2, "platform_address: is missing". Two threads run the command, each writes the same settings file, and one truncated it while the other's command read it. The file is now renamed into place. Not reproduced on purpose: traced from the output and the code.

--- a/crates/waxwing-session/src/deployment.rs
+++ b/crates/waxwing-session/src/deployment.rs
@@ -304,7 +304,10 @@
                 text.push_str(&format!("  - {}\n", self.admin_address(vm, process)));
             }
         }
-        fs::write(&settings, text).expect("settings can be written");
+        // Renamed into place, since another thread's command may be reading the file.
+        let written = settings.with_extension(format!("{:?}", thread::current().id()));
+        fs::write(&written, text).expect("settings can be written");
+        fs::rename(&written, &settings).expect("settings can be renamed");
         let output = process::Command::new(binary_path("waxwing"))
             .arg("--settings")
             .arg(settings)
