fix(entry): a request with many headers is not rejected

The same as in waxwing-vm: 431 for more than 96 headers, the HTTP library's default. What the size limits of a head are is unchanged.

--- a/crates/waxwing-entry/src/main.rs
+++ b/crates/waxwing-entry/src/main.rs
@@ -28,6 +28,9 @@
 /// How often a shutdown checks whether all requests have ended.
 const IN_FLIGHT_POLL_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
+/// The most headers of a request: as many as fit into the largest head that the HTTP library reads.
+const HEADERS_MAX: usize = 16 * 1024;
+
 /// Milliseconds per second.
 const MS_PER_S: u64 = 1_000;
 
@@ -107,7 +110,9 @@
     let server = web::HttpServer::new(async move || {
         web::App::new().state(shared.clone()).default_service(web::route().to(forward::forward))
     });
-    let http = http::HttpServiceConfig::new().set_client_timeout(ntex_time::Seconds(10));
+    let http = http::HttpServiceConfig::new()
+        .set_client_timeout(ntex_time::Seconds(10))
+        .set_max_headers(HEADERS_MAX);
     let server = server
         .workers(entry.settings.workers)
         .disable_signals()
--- a/crates/waxwing-session/tests/session/responses.rs
+++ b/crates/waxwing-session/tests/session/responses.rs
@@ -269,6 +269,12 @@
         let seen = support::send(&deployment, VM, request);
         assert!(seen.starts_with(expected), "{what}: {seen}");
     }
+    let many_headers = (0..200).fold(support::keyed_request("GET", "/ledger/a", &key), |r, n| {
+        r.header(&format!("x-{n}"), "v")
+    });
+    let seen = support::send(&deployment, VM, many_headers);
+    // The entry VM forwards it; the HTTP library of the stand-in has a limit of its own.
+    assert!(seen.contains(" answered"), "many headers: {seen}");
     let large_header =
         support::keyed_request("GET", "/ledger/a", &key).header("x-big", &large_value);
     let seen = support::send(&deployment, VM, large_header);
