--- a/crates/waxwing-entry/src/refusal.rs
+++ b/crates/waxwing-entry/src/refusal.rs
@@ -12,6 +12,9 @@
 
 use crate::headers;
 
+/// The retry delay if another entry VM may be able to serve the caller now; whole seconds.
+const ELSEWHERE_RETRY_S: u64 = 1;
+
 /// Milliseconds per second.
 const MS_PER_S: u64 = 1_000;
 
@@ -24,15 +27,24 @@
     /// This VM has not received any records from its keeper yet.
     #[error("this entry VM has no records yet; use another one")]
     NoRecords,
+    /// The records do not allow the request, but are too old to exclude that newer ones do.
+    #[error(
+        "the records of this entry VM are out of date and do not allow the request; use another one"
+    )]
+    RecordsStale,
     /// The first segment of the path is not the name of a service.
     #[error("there is no such service; the path begins with the name of one")]
     UnknownService,
     /// The service needs a key and the request has none.
     #[error("this service needs a key; send it in the header {}", headers::KEY)]
     MissingKey,
-    /// The key is unknown or withdrawn, or no longer belongs to the charged organisation.
+    /// The key is unknown or withdrawn.
     #[error("the key is not known or was withdrawn")]
     UnknownKey,
+    /// The request was charged to an organisation to which its key no longer belongs; it may be
+    /// admitted again for the one to which it does.
+    #[error("the key belongs to another organisation now")]
+    OrganisationChanged,
     /// The records were last confirmed longer ago than the service allows, so the key may have been
     /// withdrawn since.
     #[error(
@@ -74,8 +86,11 @@
     /// The organisation's queue for slots of the service is full.
     #[error("too many requests of the organisation wait already")]
     QueueFull,
-    /// The caller's body ended early, did not arrive before the request's deadline, or turned out
-    /// to exceed the service's limit after a part of it was sent.
+    /// The caller's body did not arrive before the request's deadline, and nothing of it was sent.
+    #[error("the body did not arrive in time")]
+    BodyTimeout,
+    /// The caller's body ended early, or turned out to exceed the service's limit after a part of
+    /// it was sent.
     #[error("the upload broke off ({outcome})")]
     BodyIncomplete {
         /// Whether the request may have run.
@@ -96,8 +111,12 @@
 impl From<client::Error> for Refusal {
     fn from(error: client::Error) -> Self {
         match error {
-            client::Error::KeeperUnavailable => Self::ContractUnreachable,
-            client::Error::Refused(local::ChargeRefusal::UnknownOrganisation) => Self::UnknownKey,
+            // The organisation is in the records of this process, which came from the keeper: the
+            // keeper has restarted since, or has newer records that arrive here next.
+            client::Error::KeeperUnavailable
+            | client::Error::Refused(local::ChargeRefusal::UnknownOrganisation) => {
+                Self::ContractUnreachable
+            }
             client::Error::Refused(local::ChargeRefusal::Contract(refusal)) => match refusal {
                 charge::Refusal::Exhausted { retry_after_ms } => {
                     Self::Exhausted { retry_after_ms: retry_after_ms.0 }
@@ -117,6 +136,23 @@
         }
     }
 
+    /// Returns whether newer records may allow the request.
+    pub const fn depends_on_records(&self) -> bool {
+        matches!(
+            self,
+            Self::UnknownService | Self::MissingKey | Self::UnknownKey | Self::BodyTooLarge { .. }
+        )
+    }
+
+    /// Returns the number of seconds after which a retry makes sense, if it is known.
+    fn retry_after_s(&self) -> Option<u64> {
+        match self {
+            Self::Exhausted { retry_after_ms } => Some(retry_after_ms.div_ceil(MS_PER_S).max(1)),
+            Self::RecordsStale | Self::OrganisationChanged => Some(ELSEWHERE_RETRY_S),
+            _ => None,
+        }
+    }
+
     /// Returns the HTTP status of the response to the caller.
     pub const fn status(&self) -> http::StatusCode {
         match self {
@@ -126,10 +162,13 @@
             Self::KeyInPath | Self::InvalidTimeout | Self::BodyIncomplete { .. } => {
                 http::StatusCode::BAD_REQUEST
             }
+            Self::BodyTimeout => http::StatusCode::REQUEST_TIMEOUT,
             Self::BodyTooLarge { .. } => http::StatusCode::PAYLOAD_TOO_LARGE,
             Self::Exhausted { .. } => http::StatusCode::TOO_MANY_REQUESTS,
             Self::ShuttingDown
             | Self::NoRecords
+            | Self::RecordsStale
+            | Self::OrganisationChanged
             | Self::KeysStale
             | Self::ContractUnreachable
             | Self::QueueFull
@@ -171,8 +210,7 @@
         let mut builder = web::HttpResponse::build(self.status());
         builder.header(headers::OUTCOME, self.outcome().to_string());
         builder.header(headers::REQUEST_ID, request_id.as_str());
-        if let Self::Exhausted { retry_after_ms } = self {
-            let seconds = retry_after_ms.div_ceil(MS_PER_S).max(1);
+        if let Some(seconds) = self.retry_after_s() {
             builder.header(http::header::RETRY_AFTER, seconds.to_string());
         }
         builder.content_type("text/plain; charset=utf-8");
--- a/crates/waxwing-session/tests/session/responses.rs
+++ b/crates/waxwing-session/tests/session/responses.rs
@@ -231,6 +231,21 @@
     }
 }
 
+/// Regression: a body that did not arrive within the timeout was rejected as invalid.
+#[test]
+fn a_slow_body_is_reported_as_a_timeout_and_not_run() {
+    let (deployment, key) = support::start(18);
+    let request = support::keyed_request("POST", "/ledger/slow-body", &key)
+        .header("waxwing-timeout-ms", "300")
+        .body(vec![b'x'; 1_000]);
+    let mut stream = caller::connect(deployment.entry_address(VM)).expect("a connection");
+    stream.write_all(&request.head(true)).expect("sent");
+    stream.write_all(&request.body[..500]).expect("sent");
+    let response = caller::read_response(&mut stream).expect("a response");
+    assert!(support::describe(&response).starts_with("408 not-run"), "{response:?}");
+    assert_eq!(support::run_count(&deployment, 1, "/ledger/slow-body"), 0);
+}
+
 #[test]
 fn invalid_input_is_rejected_and_does_not_affect_later_requests() {
     let (deployment, key) = support::start(16);
@@ -254,6 +269,12 @@
         let seen = support::send(&deployment, VM, request);
         assert!(seen.starts_with(expected), "{what}: {seen}");
     }
+    let many_headers = (0..200).fold(support::keyed_request("GET", "/ledger/a", &key), |r, n| {
+        r.header(&format!("x-{n}"), "v")
+    });
+    let seen = support::send(&deployment, VM, many_headers);
+    // The entry VM forwards it; the HTTP library of the stand-in has a limit of its own.
+    assert!(seen.contains(" answered"), "many headers: {seen}");
     let large_header =
         support::keyed_request("GET", "/ledger/a", &key).header("x-big", &large_value);
     let seen = support::send(&deployment, VM, large_header);
--- a/crates/waxwing-vm/src/caller_connection.rs
+++ b/crates/waxwing-vm/src/caller_connection.rs
@@ -7,6 +7,7 @@
 
 use std::cell;
 use std::future::{self, Future};
+use std::io as std_io;
 use std::pin;
 use std::rc;
 use std::task;
@@ -18,11 +19,13 @@
 use ntex::http::body;
 use ntex::http::error as http_error;
 use ntex::http::h1;
+use ntex::http::header;
 use ntex::io;
 use ntex::util as ntex_util;
 use waxwing_process::timer;
 
 use crate::forward;
+use crate::trailers;
 use crate::vm;
 
 /// How long a caller's connection may be idle.
@@ -37,6 +40,9 @@
 /// The most requests of one connection that are handled concurrently.
 const PIPELINED_MAX: usize = 16;
 
+/// The most headers of a request: as many as fit into the largest head that the HTTP library reads.
+const HEADERS_MAX: usize = 16 * 1024;
+
 /// The interim response to a caller that sent `Expect: 100-continue`.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -88,7 +94,8 @@
 /// backend servers.
 pub async fn serve(io: io::IoBoxed, vm: vm::Shared, pool: forward::LocalPool) {
     let state = ConnectionState::default();
-    let codec = h1::Codec::new(0, ntex::Cfg::default());
+    let http = http::HttpServiceConfig::new().set_max_headers(HEADERS_MAX);
+    let codec = h1::Codec::new(0, ntex::SharedCfg::new("caller").add(http).build().into());
     let reader = RequestReader { io: &io, codec, vm: &vm, state: &state, is_finished: false };
     let mut incoming = pin::pin!(stream::unfold(reader, RequestReader::next));
     let mut disconnected = pin::pin!(io.on_disconnect());
@@ -243,8 +250,11 @@
         request: http::Request,
         payload: h1::PayloadType,
     ) -> forward::PendingRequest {
+        let has_length = request.head().headers().contains_key(header::CONTENT_LENGTH);
         let decoder = match payload {
             h1::PayloadType::None => None,
+            // The upgrade that the caller asks for is not made, so no bytes belong to it.
+            h1::PayloadType::Stream(_) if !has_length => None,
             h1::PayloadType::Payload(decoder) | h1::PayloadType::Stream(decoder) => Some(decoder),
         };
         if decoder.is_some() && request.head().expect() && self.state.pending_responses.get() == 0 {
@@ -276,18 +286,33 @@
 impl Chunks<'_> {
     async fn next(mut self) -> Option<(forward::Chunk, Self)> {
         let decoder = self.decoder.take()?;
-        match self.io.recv(&decoder).await {
+        let error = match self.io.recv(&decoder).await {
             Ok(Some(h1::PayloadItem::Chunk(bytes))) => {
                 self.decoder = Some(decoder);
-                Some((Ok(bytes), self))
+                return Some((Ok(bytes), self));
             }
-            Ok(Some(h1::PayloadItem::Eof)) => {
-                self.is_complete.set(true);
-                None
+            Ok(Some(h1::PayloadItem::Eof)) => None,
+            Err(ntex_util::Either::Left(error)) if trailers::may_follow(&error) => {
+                reading_error(self.io.recv(&trailers::TrailersDecoder::default()).await)
             }
-            Ok(None) => Some((Err("the caller has gone".to_owned()), self)),
-            Err(ntex_util::Either::Left(error)) => Some((Err(error.to_string()), self)),
-            Err(ntex_util::Either::Right(error)) => Some((Err(error.to_string()), self)),
+            read => reading_error(read),
+        };
+        if let Some(error) = error {
+            return Some((Err(error), self));
         }
+        self.is_complete.set(true);
+        None
+    }
+}
+
+/// Returns why nothing was read; `None` if something was.
+fn reading_error<T>(
+    read: Result<Option<T>, ntex_util::Either<http_error::DecodeError, std_io::Error>>,
+) -> Option<String> {
+    match read {
+        Ok(Some(_)) => None,
+        Ok(None) => Some("the caller has gone".to_owned()),
+        Err(ntex_util::Either::Left(error)) => Some(error.to_string()),
+        Err(ntex_util::Either::Right(error)) => Some(error.to_string()),
     }
 }
