fix(vm): a repeated refusal never stands for a request with the same id

Cause: on a kept connection only the id tells a response from a copy of an earlier one. A caller that tries again under the id that it had makes both the same.

Ruled out: copies with another id or none (the id has to match), copies right behind the refusal or while the connection is idle, whole or in part (bytes that arrived before the request was written close the connection).

A connection now keeps the hashes of the ids that were refused on it and carries no other request with one of them, so a refusal with the id of the request on the connection is never a copy. A connection with 256 refusals is not kept, which bounds that memory.

--- a/crates/waxwing-vm/src/connection_pool.rs
+++ b/crates/waxwing-vm/src/connection_pool.rs
@@ -8,6 +8,10 @@
 //! may run more than once is then retried; one that may not fails. So once a connection was found
 //! reset after some idle time, requests that run at most once use only connections idle for less
 //! than half of that time.
+//!
+//! A faulty server may repeat an earlier refusal at the point where a response is expected. The id
+//! tells it from the response, unless both requests have the same id. So a connection on which a
+//! request was refused carries no other request with that id.
 
 use std::cell;
 use std::io;
@@ -25,6 +29,7 @@
 use waxwing_process::timer;
 use waxwing_request::attempt;
 use waxwing_units::id;
+use waxwing_units::rendezvous;
 use waxwing_units::time as units_time;
 
 /// How long opening a connection may take.
@@ -36,6 +41,9 @@
 /// How long an observed reset limits the reuse of idle connections.
 const IDLE_RESET_VALIDITY: time::Duration = time::Duration::from_secs(60);
 
+/// The number of refusals after which a connection is not reused.
+const REFUSALS_MAX: usize = 256;
+
 /// How far an attempt has got, updated by the client's connector.
 pub type StateCell = rc::Rc<cell::Cell<attempt::State>>;
 
@@ -54,6 +62,8 @@
     state: StateCell,
     /// How long the connection was idle before this use; `None` for a new one.
     idle_before_use: Option<time::Duration>,
+    /// The hashes of the ids of requests that were refused on the connection, sorted.
+    refused: Vec<u64>,
 }
 
 /// A connection that is not in use.
@@ -92,6 +102,18 @@
     pub fn set_state(&self, state: attempt::State) {
         self.state.set(state);
     }
+
+    /// Records that the server refused the request `request_id` on the connection.
+    pub fn record_refusal(&mut self, request_id: &str) {
+        let hash = rendezvous::hash(request_id);
+        if let Err(at) = self.refused.binary_search(&hash) {
+            self.refused.insert(at, hash);
+        }
+    }
+
+    fn has_refused(&self, request_id: &str) -> bool {
+        self.refused.binary_search(&rendezvous::hash(request_id)).is_ok()
+    }
 }
 
 impl ConnectionPool {
@@ -103,6 +125,7 @@
     pub async fn take(
         &self,
         lease: &placement::Lease,
+        request_id: &str,
         repeatability: attempt::Repeatability,
     ) -> Result<Connection, client_error::ClientError> {
         let endpoint = Endpoint {
@@ -110,13 +133,13 @@
             server: lease.server.clone(),
             started: lease.started,
         };
-        if let Some(reused) = self.take_idle(&endpoint, self.idle_max(repeatability)) {
+        if let Some(reused) = self.take_idle(&endpoint, request_id, self.idle_max(repeatability)) {
             reused.state.set(attempt::State::Sending);
             return Ok(reused);
         }
         let state: StateCell = rc::Rc::new(cell::Cell::new(attempt::State::Connecting));
         let client = single_connection_client(state.clone()).await?;
-        Ok(Connection { endpoint, client, state, idle_before_use: None })
+        Ok(Connection { endpoint, client, state, idle_before_use: None, refused: Vec::new() })
     }
 
     /// Returns the longest idle time of a connection that a request may reuse.
@@ -145,12 +168,20 @@
         self.idle_reset.set(Some(IdleReset { after, found_at }));
     }
 
-    fn take_idle(&self, endpoint: &Endpoint, idle_max: time::Duration) -> Option<Connection> {
+    fn take_idle(
+        &self,
+        endpoint: &Endpoint,
+        request_id: &str,
+        idle_max: time::Duration,
+    ) -> Option<Connection> {
         let now = clock::now();
         let mut idle = self.idle.borrow_mut();
         idle.retain(|idle| now < idle.usable_until);
-        let is_match =
-            |idle: &Idle| idle.connection.endpoint == *endpoint && now.since(idle.since) < idle_max;
+        let is_match = |idle: &Idle| {
+            idle.connection.endpoint == *endpoint
+                && now.since(idle.since) < idle_max
+                && !idle.connection.has_refused(request_id)
+        };
         let at = idle.iter().rposition(is_match)?;
         let Idle { mut connection, since, .. } = idle.remove(at);
         connection.idle_before_use = Some(now.since(since));
@@ -158,7 +189,12 @@
     }
 
     /// Returns a connection to the pool, from which it can be reused for `keep_for`.
+    ///
+    /// A connection on which [`REFUSALS_MAX`] requests were refused is closed instead.
     pub fn put_back(&self, connection: Connection, keep_for: time::Duration) {
+        if connection.refused.len() >= REFUSALS_MAX {
+            return;
+        }
         let since = clock::now();
         let usable_until = since.after(keep_for);
         self.idle.borrow_mut().push(Idle { connection, since, usable_until });
--- a/crates/waxwing-vm/src/exchange.rs
+++ b/crates/waxwing-vm/src/exchange.rs
@@ -104,11 +104,12 @@
     request: Request,
     timeout: time::Duration,
 ) -> Result<Response, Failure> {
-    let Ok(connection) = pool.take(lease, request.repeatability).await else {
+    let request_id = request.request_id.clone();
+    let taken = pool.take(lease, &request_id, request.repeatability).await;
+    let Ok(mut connection) = taken else {
         log::error!("can't create an HTTP client for {}", lease.server);
         return Err(failure(attempt::State::Connecting, attempt::Fault::ConnectFailed));
     };
-    let request_id = request.request_id.clone();
     let exchange_future = send_and_read(&connection, adapter, &request_id, lease, request);
     let result = timer::timeout(timeout, exchange_future).await;
     let result = result
@@ -122,6 +123,9 @@
     {
         pool.record_reset(&connection);
     }
+    if matches!(&result, Err(Failure { fault: attempt::Fault::DeclaredNotRun, .. })) {
+        connection.record_refusal(&request_id);
+    }
     if let Some(keeps) = reading.and_then(|reading| reading.keeps) {
         pool.put_back(connection, keeps);
     }
