fix(vm): a body shorter than its head states is never forwarded as whole

Callers got a 200 with an empty or short body, framed as whole, where a backend server closed the connection after the head of its response and the head was one of three kinds: HTTP/1.0 with a Content-Length, a Content-Length beside "Upgrade: websocket", or "Transfer-Encoding: identity".

Cause: the HTTP library ends an HTTP/1.0 body with its connection whatever its length, and reads no body after the two other heads; that a head named a length at all was taken for proof that the body was whole.

Ruled out: a cut at any byte within the head, on new and kept connections, with and without a length. The library gives out no head before its last byte, and a connection that ends before is a failure that may have run.

The length is now read from the head once, by waxwing_request::body_length, and compared with what arrived. A response that states none stays unusable.

--- a/crates/waxwing-request/src/lib.rs
+++ b/crates/waxwing-request/src/lib.rs
@@ -4,12 +4,14 @@
 //!
 //! * [`attempt`]: the states of an upstream attempt, and whether a failed one is retried.
 //! * [`outcome`]: whether a request ran, as reported to the caller.
+//! * [`body_length`]: whether the body of a response is complete.
 //! * [`budget`]: a retry budget per service that is shared by all machines.
 //! * [`retry`]: a retry budget that each machine applies by itself.
 //! * [`queue`]: a fair queue of requests that wait for a slot at a backend server.
 //! * [`return_schedule`]: when callers whose requests were refused should come back.
 
 pub mod attempt;
+pub mod body_length;
 pub mod budget;
 pub mod outcome;
 pub mod queue;
--- a/crates/waxwing-request/tests/request/main.rs
+++ b/crates/waxwing-request/tests/request/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the rules for forwarding one request, one module per source module.
 
 mod attempt;
+mod body_length;
 mod budget;
 mod queue;
 mod retry;
--- a/crates/waxwing-vm/src/exchange.rs
+++ b/crates/waxwing-vm/src/exchange.rs
@@ -16,6 +16,7 @@
 use waxwing_machine::server_health;
 use waxwing_process::timer;
 use waxwing_request::attempt;
+use waxwing_request::body_length;
 use waxwing_units::size;
 
 use crate::body_memory;
@@ -143,6 +144,7 @@
     lease: &placement::Lease,
     request: Request,
 ) -> Result<Response, Failure> {
+    let is_head = request.method == http::Method::HEAD;
     let (response, mut memory) = send(connection, lease, request).await.map_err(|error| {
         log::debug!("no response from {} to {request_id}: {error}", lease.server);
         failure(connection.state(), fault_of(&error, connection.state()))
@@ -155,16 +157,16 @@
         fault: attempt::Fault::MalformedResponse,
         reading: None,
     };
-    if !has_length(&response) {
-        log::info!("the response of {} to {request_id} has no length", lease.server);
-        return Err(malformed);
-    }
+    let length = body_length(&response, is_head).map_err(|error| {
+        log::info!("the response of {} to {request_id} can't be read: {error}", lease.server);
+        malformed
+    })?;
     let headers = adapter.response_headers(response.headers());
-    let body = read_body(&response, &mut memory).await.map_err(|error| {
+    let body = read_body(&response, length, &mut memory).await.map_err(|error| {
         log::info!("the response of {} to {request_id} can't be read: {error}", lease.server);
         match error {
             BodyError::TooLarge | BodyError::MemoryFull => malformed,
-            BodyError::EndedEarly(_) => {
+            BodyError::EndedEarly(_) | BodyError::Truncated => {
                 Failure { fault: attempt::Fault::Disconnected, ..malformed }
             }
         }
@@ -217,14 +219,17 @@
     }
 }
 
-/// Returns whether a complete response can be distinguished from a truncated one.
-///
-/// The HTTP library takes a response without a length for one without a body.
-fn has_length(response: &client::ClientResponse) -> bool {
-    let headers = response.headers();
-    headers.contains_key(header::CONTENT_LENGTH)
-        || headers.contains_key(header::TRANSFER_ENCODING)
-        || matches!(response.status().as_u16(), 204 | 304)
+fn body_length(
+    response: &client::ClientResponse,
+    is_head: bool,
+) -> body_length::Result<body_length::BodyLength> {
+    let header = |name| response.headers().get(name).and_then(|value| value.to_str().ok());
+    body_length::BodyLength::of(body_length::ResponseHead {
+        is_response_to_head: is_head,
+        status: response.status().as_u16(),
+        content_length: header(header::CONTENT_LENGTH),
+        transfer_encoding: header(header::TRANSFER_ENCODING),
+    })
 }
 
 /// Why the body of a response can't be read.
@@ -232,6 +237,8 @@
 enum BodyError {
     #[error("the body ended early: {0}")]
     EndedEarly(http::error::PayloadError),
+    #[error("the body is shorter than the response states")]
+    Truncated,
     #[error("the body has more than {RESPONSE_MAX_BYTES} bytes")]
     TooLarge,
     #[error("the bodies in memory take too much")]
@@ -240,11 +247,12 @@
 
 async fn read_body(
     response: &client::ClientResponse,
+    length: body_length::BodyLength,
     memory: &mut body_memory::Reservation,
 ) -> Result<ntex_util::Bytes, BodyError> {
-    let announced = response.headers().get(header::CONTENT_LENGTH);
-    let announced_bytes = announced.and_then(|len| len.to_str().ok()?.parse::<u64>().ok());
-    if announced_bytes.is_some_and(|len_bytes| len_bytes > RESPONSE_MAX_BYTES as u64) {
+    if let body_length::BodyLength::Exact(size::Bytes(len_bytes)) = length
+        && len_bytes > RESPONSE_MAX_BYTES as u64
+    {
         return Err(BodyError::TooLarge);
     }
     let mut payload = response.take_payload();
@@ -259,5 +267,9 @@
         }
         contents.extend_from_slice(&chunk);
     }
+    // The HTTP library reads no body after some heads, and ends one of HTTP/1.0 with its connection.
+    if !length.is_complete(size::Bytes(contents.len() as u64)) {
+        return Err(BodyError::Truncated);
+    }
     Ok(contents.freeze())
 }
