fix(entry): a response without a length is no longer forwarded as an empty one

Cause: the HTTP library reads no body after such a head, and the entry process forwarded what it had read, in chunks and with an end.

Ruled out: a cut within the head. The library gives out no head before its last byte; the caller gets "502 unknown".

The entry process now reads the length as waxwing-vm does, with waxwing_request::body_length, and takes a response without one for malformed: it may have run, and an idempotent request is retried.

The second test, for a refusal that a server repeats, passes before and after: each attempt has a connection of its own.

--- a/crates/waxwing-entry/src/forward.rs
+++ b/crates/waxwing-entry/src/forward.rs
@@ -2,7 +2,6 @@
 
 use std::sync::atomic;
 
-use ntex::client;
 use ntex::http;
 use ntex::http::body;
 use ntex::http::header;
@@ -187,7 +186,7 @@
     admitted: &request_admission::AdmittedRequest,
     caller_body: &mut request_body::RequestBody,
     mut target: target::Target,
-) -> std::result::Result<(client::ClientResponse, target::Target), upstream::Failure> {
+) -> std::result::Result<(upstream::Response, target::Target), upstream::Failure> {
     entry.counters.count_attempt(admitted.service.service.as_str());
     let started = event::Kind::AttemptStarted { target: target.name() };
     entry.reporter.report_with_context(admitted.event_context(), started);
@@ -263,10 +262,11 @@
 fn build_response(
     entry: &entry::Entry,
     admitted: &request_admission::AdmittedRequest,
-    response: &client::ClientResponse,
+    response: &upstream::Response,
     target: target::Target,
     in_flight: entry::InFlightGuard,
 ) -> web::HttpResponse {
+    let upstream::Response { response, .. } = response;
     let status = response.status();
     report_ended(
         entry,
--- a/crates/waxwing-entry/src/upstream.rs
+++ b/crates/waxwing-entry/src/upstream.rs
@@ -18,6 +18,7 @@
 use ntex::util as ntex_util;
 use waxwing_process::timer;
 use waxwing_request::attempt;
+use waxwing_request::body_length;
 
 use crate::headers;
 use crate::upload;
@@ -56,6 +57,14 @@
     pub body: Body,
 }
 
+/// A response whose head has arrived and whose body is still to be read.
+pub struct Response {
+    /// The head and the stream of the body.
+    pub response: client::ClientResponse,
+    /// The length of the body.
+    pub length: body_length::BodyLength,
+}
+
 /// An attempt that brought no response to forward.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Failure {
@@ -79,17 +88,21 @@
     address: net::SocketAddr,
     request: Request,
     timeout: time::Duration,
-) -> Result<client::ClientResponse, Failure> {
+) -> Result<Response, Failure> {
     let state: StateCell = rc::Rc::new(cell::Cell::new(attempt::State::Connecting));
     let upload_error = match &request.body {
         Body::Buffered(_) => None,
         Body::Streamed(_, upload_error) => Some(upload_error.clone()),
     };
     let recipient = request.recipient;
+    let is_head = request.method == http::Method::HEAD;
     let send_future = send_on_new_connection(address, request, state.clone());
     let result = timer::timeout(timeout, send_future).await;
     let fault = match result {
-        Ok(Ok(response)) => return check_outcome(recipient, response),
+        Ok(Ok(response)) => {
+            return check_outcome(recipient, response)
+                .and_then(|response| check_length(response, is_head));
+        }
         Ok(Err(error)) => fault_of(&error, state.get()),
         Err(timer::Elapsed) => attempt::Fault::DeadlineExceeded,
     };
@@ -125,6 +138,24 @@
     }
 }
 
+/// Returns a failure where the response does not state the length of its body.
+fn check_length(response: client::ClientResponse, is_head: bool) -> Result<Response, Failure> {
+    let length = body_length::BodyLength::of(body_length::ResponseHead {
+        is_response_to_head: is_head,
+        status: response.status().as_u16(),
+        content_length: headers::text(response.headers(), header::CONTENT_LENGTH.as_str()),
+        transfer_encoding: headers::text(response.headers(), header::TRANSFER_ENCODING.as_str()),
+    });
+    match length {
+        Ok(length) => Ok(Response { response, length }),
+        Err(body_length::Error) => Err(Failure {
+            state: attempt::State::Sent,
+            fault: attempt::Fault::MalformedResponse,
+            upload_error: None,
+        }),
+    }
+}
+
 fn fault_of(error: &client_error::ClientError, state: attempt::State) -> attempt::Fault {
     use client_error::ClientError;
     match error {
--- a/crates/waxwing-session/tests/session/main.rs
+++ b/crates/waxwing-session/tests/session/main.rs
@@ -7,3 +7,4 @@
 mod responses;
 mod steering;
 mod support;
+mod upstream_faults;
--- a/crates/waxwing-stand-ins/src/backend.rs
+++ b/crates/waxwing-stand-ins/src/backend.rs
@@ -38,6 +38,11 @@
     Drop,
     /// Does what `Drop` does for the first request to a path and what `Shed` does for later ones.
     DropThenShed,
+    /// Sheds the request and, after `work_ms`, repeats the refusal on the same connection.
+    ShedTwice,
+    /// Runs the first request to a path, sends the bytes of `raw_response` and closes the
+    /// connection; does what `Answer` does for later ones.
+    RawThenAnswer,
 }
 
 /// The behaviour of the server, as set through `/stand-in/control`.
@@ -48,6 +53,8 @@
     pub mode: Mode,
     /// Processing time of a request, in milliseconds.
     pub work_ms: u64,
+    /// The bytes that the server sends in place of a response, with [`Mode::RawThenAnswer`].
+    pub raw_response: String,
     /// How many of the next requests take `cold_work_ms` longer, as with a cold cache.
     pub cold_requests: u64,
     /// Additional processing time of these requests, in milliseconds.
@@ -132,6 +139,33 @@
     }
 }
 
+/// The bytes of a response that declares that the request was not run.
+const SHED_RESPONSE: &[u8] =
+    b"HTTP/1.1 503 Busy\r\nwaxwing-not-run: true\r\ncontent-length: 0\r\n\r\n";
+
+/// Sheds a request and repeats the refusal on its connection after `delay_ms`.
+fn shed_twice(request: &web::HttpRequest, delay_ms: u64) -> web::HttpResponse {
+    if let Some(io) = request.io().cloned() {
+        let repeat = async move {
+            ntex_time::sleep(time::Duration::from_millis(delay_ms)).await;
+            // Fails only if the connection has been closed.
+            drop(io.encode_slice(SHED_RESPONSE));
+        };
+        drop(ntex::rt::spawn(repeat));
+    }
+    shed_response()
+}
+
+/// Sends `bytes` in place of a response and closes the connection.
+fn send_raw(request: &web::HttpRequest, bytes: &str) -> web::HttpResponse {
+    if let Some(io) = request.io() {
+        // Fails only if the connection has been closed.
+        drop(io.encode_slice(bytes.as_bytes()));
+        io.close();
+    }
+    web::HttpResponse::Ok().finish()
+}
+
 fn shed_response() -> web::HttpResponse {
     web::HttpResponse::ServiceUnavailable().header(NOT_RUN_HEADER, "true").body("no free slot\n")
 }
@@ -147,7 +181,11 @@
     if control.mode == Mode::Fail {
         return web::HttpResponse::InternalServerError().body("failed\n");
     }
-    if control.mode == Mode::DropThenShed && backend.has_run(request.path()) {
+    if control.mode == Mode::ShedTwice {
+        return shed_twice(&request, control.work_ms);
+    }
+    let is_first = !backend.has_run(request.path());
+    if control.mode == Mode::DropThenShed && !is_first {
         return shed_response();
     }
     let mut body_bytes = 0;
@@ -175,6 +213,7 @@
             }
             web::HttpResponse::Ok().finish()
         }
+        Mode::RawThenAnswer if is_first => send_raw(&request, &control.raw_response),
         _ => web::HttpResponse::Ok().body(text),
     }
 }
