fix(entry): a body that ends early closes the caller's connection first

Cause: the error of a body is meant to close the caller's connection, but the HTTP library then sends a response of its own, "HTTP/1.1 500 Internal Server Error" and more, right behind the part of the body that was sent. Whoever counts bytes takes its beginning for the end of the body. A body that ended early without an error (HTTP/1.0; a length beside "Upgrade: websocket") went the same way.

Ruled out: a response to the next request on the connection. With the fix taken out, the bytes at the caller were "content-length: 4 ... \r\n\r\ngHTTP/1.1 500 Internal Server Error\r\n..."

The body of a response now closes the caller's connection itself, so the library has none left to write to, and compares what arrived with the stated length.

--- a/crates/waxwing-entry/src/forward.rs
+++ b/crates/waxwing-entry/src/forward.rs
@@ -136,7 +136,7 @@
         let result = send(entry, request, admitted, &mut caller_body, target).await;
         let failure = match result {
             Ok((response, target)) => {
-                return Ok(build_response(entry, admitted, &response, target, in_flight));
+                return Ok(build_response(entry, request, admitted, &response, target, in_flight));
             }
             Err(failure) => failure,
         };
@@ -261,13 +261,14 @@
 /// body has ended.
 fn build_response(
     entry: &entry::Entry,
+    request: &web::HttpRequest,
     admitted: &request_admission::AdmittedRequest,
     response: &upstream::Response,
     target: target::Target,
     in_flight: entry::InFlightGuard,
 ) -> web::HttpResponse {
-    let upstream::Response { response, .. } = response;
-    let status = response.status();
+    let upstream_headers = response.response.headers();
+    let status = response.response.status();
     report_ended(
         entry,
         admitted.event_context(),
@@ -276,15 +277,13 @@
         admitted.received_at,
     );
     let mut builder = web::HttpResponse::build(status);
-    for (name, value) in headers::response_headers(response.headers()) {
+    for (name, value) in headers::response_headers(upstream_headers) {
         builder.header(name, value);
     }
     builder.header(headers::OUTCOME, outcome::Outcome::Answered.to_string());
     builder.header(headers::REQUEST_ID, admitted.request_id.as_str());
     let on_end = on_response_end(entry, admitted, target, in_flight);
-    let len_bytes = headers::text(response.headers(), header::CONTENT_LENGTH.as_str());
-    let len_bytes = len_bytes.and_then(|text| text.parse().ok());
-    let body = response_body::ResponseBody::new(response.take_payload(), len_bytes, on_end);
+    let body = response_body::ResponseBody::new(response, request.io().cloned(), on_end);
     builder.message_body(body::Body::from_message(body))
 }
 
--- a/crates/waxwing-session/tests/session/upstream_faults.rs
+++ b/crates/waxwing-session/tests/session/upstream_faults.rs
@@ -1,6 +1,6 @@
 //! Faults of single backend servers that other operators reported.
 
-use std::io::Write;
+use std::io::{Read, Write};
 
 use serde_json::json;
 use waxwing_session::deployment;
@@ -48,9 +48,14 @@
     }
 }
 
-/// Responses without a length.
-const RESPONSES: [&str; 2] = [
+/// Ways in which a response states the length of its body `good`.
+const RESPONSES: [&str; 7] = [
+    "HTTP/1.1 200 OK\r\nx-seal: s\r\ncontent-length: 4\r\n\r\ngood",
+    "HTTP/1.1 200 OK\r\ncontent-length: 4\r\nx-seal: s\r\n\r\ngood",
+    "HTTP/1.1 200 OK\r\nx-seal: s\r\ntransfer-encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n",
+    "HTTP/1.0 200 OK\r\nx-seal: s\r\ncontent-length: 4\r\n\r\ngood",
     "HTTP/1.1 200 OK\r\nx-seal: s\r\ntransfer-encoding: identity\r\n\r\ngood",
+    "HTTP/1.1 200 OK\r\ncontent-length: 4\r\nupgrade: websocket\r\n\r\ngood",
     "HTTP/1.1 200 OK\r\nx-seal: s\r\n\r\ngood",
 ];
 
@@ -83,3 +88,16 @@
     }
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
+
+#[test]
+fn a_response_to_head_leaves_the_connection_open() {
+    let (deployment, key) = support::start_with(20, RATE);
+    let requests = [("HEAD", false), ("GET", true)].map(|(method, is_last)| {
+        support::keyed_request(method, "/ledger/head", &key).head(is_last)
+    });
+    let mut stream = caller::connect(deployment.entry_address(VM)).expect("a connection");
+    stream.write_all(&requests.concat()).expect("sent");
+    let mut received = String::new();
+    stream.read_to_string(&mut received).expect("both responses");
+    assert_eq!(received.matches("HTTP/1.1 200 OK").count(), 2, "{received}");
+}
