fix(vm): a request under a refused id replaces a connection, not adds one

A caller that uses one id for all requests, at servers that refuse them, would have left one more idle connection behind with each of them until their keep-alive ended, and servers limit connections. If all idle connections to a server refused the id, the oldest of them is now closed.

Found by reading the diff; no test counts open connections.

--- a/crates/waxwing-vm/src/connection_pool.rs
+++ b/crates/waxwing-vm/src/connection_pool.rs
@@ -177,12 +177,16 @@
         let now = clock::now();
         let mut idle = self.idle.borrow_mut();
         idle.retain(|idle| now < idle.usable_until);
-        let is_match = |idle: &Idle| {
-            idle.connection.endpoint == *endpoint
-                && now.since(idle.since) < idle_max
-                && !idle.connection.has_refused(request_id)
+        let is_match =
+            |idle: &Idle| idle.connection.endpoint == *endpoint && now.since(idle.since) < idle_max;
+        let is_usable = |idle: &Idle| is_match(idle) && !idle.connection.has_refused(request_id);
+        let Some(at) = idle.iter().rposition(is_usable) else {
+            // Closes one that refused the id, so that repeated ids don't add up connections.
+            if let Some(at) = idle.iter().position(is_match) {
+                idle.remove(at);
+            }
+            return None;
         };
-        let at = idle.iter().rposition(is_match)?;
         let Idle { mut connection, since, .. } = idle.remove(at);
         connection.idle_before_use = Some(now.since(since));
         Some(connection)
