fix(vm): requests in a planned stop are no longer cut at its end

Timeline, with an end_max of 4 s, from runs of the new test on the code before: at 0 s SIGTERM, all requests are admitted with the whole deadline of their callers; at 2 s admission closes; at 3.5 s the process ends, whatever is in progress.

Hypotheses: (1) a request admitted before 2 s whose server takes longer than what is left is cut at 3.5 s; (2) requests from before the signal likewise; (3) a body that is still being read at 3.5 s ends with no response; (4) requests after 2 s are cut. (1), (2) and (3) were seen, (4) was not: those get 503 at once.

Cause: the end of the process was known to run.rs alone; admission, attempts, retries and body reads asked the caller's deadline. So it is one value now: `Shutdown` holds the schedule from the signal on, `waxwing_request::shutdown` decides, and each wait ends when the last responses are due (five sixths of end_max, a 24th before the process ends), also a wait that began before the signal. The deadline that a server is told is never later than that. A retry asks again, as a first attempt does.

Ruled out: shortening at-most-once deadlines too, which turns a refusal that costs one connection into an unknown outcome; and refusing all requests from the signal on.

--- a/crates/waxwing-process/src/lib.rs
+++ b/crates/waxwing-process/src/lib.rs
@@ -7,6 +7,7 @@
 //! * [`metrics`]: OpenTelemetry instruments, exported as Prometheus text.
 //! * [`reporter`]: writes events to the event journal and the log.
 //! * [`admin`]: serves health, readiness, metrics, events and status over HTTP.
+//! * [`shutdown`]: the shutdown of the process, as the requests in progress see it.
 //! * [`signal`]: turns process signals into shutdown and reload actions.
 //! * [`timer`]: sleeps and timeouts for asynchronous code.
 //! * [`log_limiter`]: limits the rate of log lines.
@@ -19,5 +20,6 @@
 pub mod metrics;
 pub mod reporter;
 pub mod settings;
+pub mod shutdown;
 pub mod signal;
 pub mod timer;
--- a/crates/waxwing-request/src/lib.rs
+++ b/crates/waxwing-request/src/lib.rs
@@ -8,6 +8,7 @@
 //! * [`retry`]: a retry budget that each machine applies by itself.
 //! * [`queue`]: a fair queue of requests that wait for a slot at a backend server.
 //! * [`return_schedule`]: when callers whose requests were refused should come back.
+//! * [`shutdown`]: which requests a machine still passes on during a shutdown.
 
 pub mod attempt;
 pub mod budget;
@@ -15,3 +16,4 @@
 pub mod queue;
 pub mod retry;
 pub mod return_schedule;
+pub mod shutdown;
--- a/crates/waxwing-request/tests/request/main.rs
+++ b/crates/waxwing-request/tests/request/main.rs
@@ -5,3 +5,4 @@
 mod queue;
 mod retry;
 mod return_schedule;
+mod shutdown;
--- a/crates/waxwing-vm/src/exchange.rs
+++ b/crates/waxwing-vm/src/exchange.rs
@@ -3,8 +3,6 @@
 //! A response is read to its end before any of it is forwarded. So a truncated response never looks
 //! like a shorter complete one, and an idempotent request can be retried instead.
 
-use std::time;
-
 use futures_util::StreamExt;
 use ntex::client;
 use ntex::client::error as client_error;
@@ -14,9 +12,10 @@
 use ntex::util as ntex_util;
 use waxwing_machine::placement;
 use waxwing_machine::server_health;
-use waxwing_process::timer;
+use waxwing_process::shutdown;
 use waxwing_request::attempt;
 use waxwing_units::size;
+use waxwing_units::time as units_time;
 
 use crate::body_memory;
 use crate::connection_pool;
@@ -42,6 +41,8 @@
     pub body: ntex_util::Bytes,
     /// Whether the request may run more than once.
     pub repeatability: attempt::Repeatability,
+    /// When the response is due.
+    pub deadline: units_time::MonoInstant,
     /// The memory for the body of the response.
     pub response_memory: body_memory::Reservation,
 }
@@ -92,7 +93,8 @@
     }
 }
 
-/// Sends a request to a server and reads the whole response, within `timeout`.
+/// Sends a request to a server and reads the whole response, until its deadline or the end of the
+/// process.
 ///
 /// # Errors
 ///
@@ -102,15 +104,15 @@
     adapter: &dyn http_adapter::HttpAdapter,
     lease: &placement::Lease,
     request: Request,
-    timeout: time::Duration,
+    shutdown: &shutdown::Shutdown,
 ) -> Result<Response, Failure> {
     let Ok(connection) = pool.take(lease, request.repeatability).await else {
         log::error!("can't create an HTTP client for {}", lease.server);
         return Err(failure(attempt::State::Connecting, attempt::Fault::ConnectFailed));
     };
-    let request_id = request.request_id.clone();
+    let (request_id, deadline) = (request.request_id.clone(), request.deadline);
     let exchange_future = send_and_read(&connection, adapter, &request_id, lease, request);
-    let result = timer::timeout(timeout, exchange_future).await;
+    let result = shutdown.timeout(deadline, exchange_future).await;
     let result = result
         .unwrap_or_else(|_| Err(failure(connection.state(), attempt::Fault::DeadlineExceeded)));
     let reading = match &result {
--- a/crates/waxwing-vm/src/forward.rs
+++ b/crates/waxwing-vm/src/forward.rs
@@ -159,13 +159,13 @@
     }
 }
 
-/// Checks the key again and takes a slot at a server for the next attempt.
+/// Checks the request again and takes a slot at a server for the next attempt.
 fn next_slot(
     vm: &vm::Shared,
     request: &request_admission::AdmittedRequest,
     prior: &mut PriorAttempts,
 ) -> refusal::Result<service_pools::Slot> {
-    match request_admission::recheck_key(vm, request) {
+    match request_admission::recheck(vm, request) {
         // If an earlier attempt may have run the request, the caller has to learn that, whatever
         // prevents this attempt.
         Err(_) if prior.history.may_have_run() => Err(refusal::Refusal::Failed {
@@ -211,7 +211,7 @@
     prior: &PriorAttempts,
 ) -> bool {
     (prior.servers.len() as u64) < u64::from(request.route.attempts_max)
-        && request.time_left() > SEND_TIME_LEFT_MIN
+        && request.time_left(vm) > SEND_TIME_LEFT_MIN
         && vm.pools.withdraw_retry(&request.service)
 }
 
@@ -231,7 +231,7 @@
         rank: request.rank,
         tried: &prior.servers,
     };
-    let fault = match request.time_left() > SEND_TIME_LEFT_MIN {
+    let fault = match request.time_left(vm) > SEND_TIME_LEFT_MIN {
         true => match vm.pools.acquire(vm, &request.service, &criteria) {
             service_pools::Acquired::Slot(slot) => return Ok(slot),
             service_pools::Acquired::NoneEligible if prior.servers.is_empty() => {
@@ -264,7 +264,7 @@
     slot: &mut service_pools::Slot,
 ) -> Result<exchange::Response, exchange::Failure> {
     let lease = slot.lease().clone();
-    let time_left = request.time_left();
+    let time_left = request.time_left(vm);
     let organisation = request.organisation.as_ref();
     let context = http_adapter::ForwardContext { lease: &lease, time_left, organisation };
     let upstream_request = exchange::Request {
@@ -274,10 +274,11 @@
         headers: vm.adapter.upstream_headers(&request.headers, &context),
         body: request.body.bytes(),
         repeatability: request.route.repeatability,
+        deadline: request.deadline,
         response_memory: vm.reserve_body_memory(),
     };
-    let result =
-        exchange::exchange(pool, vm.adapter.as_ref(), &lease, upstream_request, time_left).await;
+    let adapter = vm.adapter.as_ref();
+    let result = exchange::exchange(pool, adapter, &lease, upstream_request, &vm.shutdown).await;
     let reading = match &result {
         Ok(response) => {
             slot.set_outcome(attempt_outcome_of(response), response.reading.load);
--- a/crates/waxwing-vm/src/request_admission.rs
+++ b/crates/waxwing-vm/src/request_admission.rs
@@ -10,7 +10,7 @@
 use ntex::http::header;
 use ntex::util as ntex_util;
 use waxwing_process::clock;
-use waxwing_process::timer;
+use waxwing_request::shutdown;
 use waxwing_route::route;
 use waxwing_route::table;
 use waxwing_units::id;
@@ -50,9 +50,10 @@
 }
 
 impl AdmittedRequest {
-    /// Returns the time left until the deadline; zero once it has passed.
-    pub fn time_left(&self) -> time::Duration {
-        self.deadline.since(clock::now())
+    /// Returns the time left until the deadline, or until this VM's last responses are due; zero
+    /// once it has passed.
+    pub fn time_left(&self, vm: &vm::Vm) -> time::Duration {
+        vm.shutdown.limit(self.deadline).since(clock::now())
     }
 
     /// Returns the affinity key, qualified by the route's path prefix so that equal keys of
@@ -138,17 +139,20 @@
     log_entry: &mut access_log::AccessLogEntry,
 ) -> refusal::Result<AdmittedRequest> {
     let ReceivedRequest { incoming, method, headers, table, route, deadline, body } = received;
-    if vm.stage() == vm::Stage::Closed {
-        return Err(refusal::Refusal::ShuttingDown);
-    }
     let table = table.ok_or(refusal::Refusal::NoConfiguration)?;
     let route = route.ok_or(refusal::Refusal::NoRoute)?;
     log_entry.record_route(&route.name);
     let body = body?;
+    let is_admitted = |schedule: shutdown::Schedule| {
+        schedule.admits(clock::now(), &shutdown_request(&route, deadline))
+    };
+    if !vm.shutdown.schedule().is_none_or(is_admitted) {
+        return Err(refusal::Refusal::ShuttingDown);
+    }
     let organisation = authenticate(vm, &table, &route, &incoming)?;
     log_entry.record_organisation(organisation.as_ref());
     if let Some(organisation) = &organisation {
-        let charged = contracts::charge(vm, organisation, deadline).await;
+        let charged = contracts::charge(vm, organisation, vm.shutdown.limit(deadline)).await;
         vm.counters.count_charge(if charged.is_ok() { "charged" } else { "refused" });
         charged.map_err(refusal::Refusal::NotCharged)?;
     }
@@ -196,14 +200,38 @@
     }
 }
 
-/// Checks the key again right before an attempt, by the configuration in force at that time, since
-/// the key may have been withdrawn after the request was admitted.
+/// Returns what a shutdown's decision on a request depends on.
+const fn shutdown_request(
+    route: &route::Route,
+    deadline: units_time::MonoInstant,
+) -> shutdown::Request {
+    shutdown::Request {
+        deadline,
+        expected_duration: route.latency_objective,
+        repeatability: route.repeatability,
+    }
+}
+
+/// Checks again right before an attempt whether the request may run, since its key may have been
+/// withdrawn, or a shutdown begun, after the request was admitted.
 ///
 /// # Errors
 ///
-/// Returns an error if the key no longer belongs to the charged organisation, or if the
-/// configuration is missing or too old to determine that.
-pub fn recheck_key(vm: &vm::Vm, request: &AdmittedRequest) -> refusal::Result<()> {
+/// Returns an error if the process may end before the attempt does, if the key no longer belongs to
+/// the charged organisation, or if the configuration is missing or too old to determine that.
+pub fn recheck(vm: &vm::Vm, request: &AdmittedRequest) -> refusal::Result<()> {
+    let is_allowed = |schedule: shutdown::Schedule| {
+        let shutdown_request = shutdown_request(&request.route, request.deadline);
+        schedule.allows_attempt(clock::now(), &shutdown_request)
+    };
+    if !vm.shutdown.schedule().is_none_or(is_allowed) {
+        return Err(refusal::Refusal::ShuttingDown);
+    }
+    recheck_key(vm, request)
+}
+
+/// Checks the key by the configuration in force now.
+fn recheck_key(vm: &vm::Vm, request: &AdmittedRequest) -> refusal::Result<()> {
     let Some(organisation) = &request.organisation else {
         return Ok(());
     };
@@ -245,8 +273,11 @@
 ) -> refusal::Result<BufferedBody> {
     let max_bytes = table.map_or(u64::MAX, |table| table.limits().body_max_bytes.0);
     let reading = read_chunks(vm, body, max_bytes);
-    let read = timer::timeout(deadline.since(clock::now()), reading).await;
-    read.unwrap_or(Err(refusal::Refusal::BodyTimeout))
+    let read = vm.shutdown.timeout(deadline, reading).await;
+    read.unwrap_or_else(|_| match vm.shutdown.are_responses_due() {
+        true => Err(refusal::Refusal::ShuttingDown),
+        false => Err(refusal::Refusal::BodyTimeout),
+    })
 }
 
 async fn read_chunks(
--- a/crates/waxwing-vm/src/run.rs
+++ b/crates/waxwing-vm/src/run.rs
@@ -18,6 +18,7 @@
 use waxwing_process::reporter;
 use waxwing_process::signal;
 use waxwing_process::timer;
+use waxwing_request::shutdown;
 use waxwing_timeline::event;
 
 use crate::caller_connection;
@@ -43,6 +44,10 @@
 /// How long removing the registration may take.
 const DEREGISTRATION_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 
+/// The part of the shutdown time limit, as a divisor, that is left when requests without a response
+/// fail, so that their responses are sent before the process ends.
+const RESPONSE_MARGIN_DIVISOR: u32 = 6;
+
 /// The part of the shutdown time limit, as a divisor, in which requests are still accepted.
 const DRAINING_DIVISOR: u32 = 2;
 
@@ -182,9 +187,15 @@
 async fn shut_down<R: registry::Registry>(vm: &vm::Shared, registry: &R) {
     let started_at = clock::now();
     let end_max = vm.settings().settings.end_max.duration();
+    let schedule = shutdown::Schedule {
+        started_at,
+        closes_at: started_at.after(end_max / DRAINING_DIVISOR),
+        responses_due_at: started_at.after(end_max - end_max / RESPONSE_MARGIN_DIVISOR),
+    };
+    vm.shutdown.begin(schedule);
     vm.set_stage(vm::Stage::Leaving);
     peers::send_heartbeats(vm);
-    timer::sleep((end_max / DRAINING_DIVISOR).saturating_sub(clock::now().since(started_at))).await;
+    timer::sleep(schedule.closes_at.since(clock::now())).await;
     vm.set_stage(vm::Stage::Closed);
     vm.membership.lock().set_registration(None);
     let deregistration = timer::timeout(DEREGISTRATION_TIMEOUT, registry.deregister());
--- a/crates/waxwing-vm/src/vm.rs
+++ b/crates/waxwing-vm/src/vm.rs
@@ -11,6 +11,7 @@
 use waxwing_machine::membership;
 use waxwing_process::clock;
 use waxwing_process::log_limiter;
+use waxwing_process::shutdown;
 use waxwing_request::budget;
 use waxwing_route::staleness;
 use waxwing_route::table;
@@ -124,6 +125,8 @@
     pub in_flight: atomic::AtomicU64,
     /// The memory for the bodies of requests and responses.
     pub body_memory: sync::Arc<body_memory::BodyMemory>,
+    /// When this VM's process ends, once the signal has come.
+    pub shutdown: shutdown::Shutdown,
     stage: atomic::AtomicU8,
     last_store_failure_at: Mutex<units_time::MonoInstant>,
     last_store_response_at: Mutex<units_time::MonoInstant>,
@@ -165,6 +168,7 @@
             arrival_rate: arrival_rate::ArrivalRate::default(),
             in_flight: atomic::AtomicU64::new(0),
             body_memory: sync::Arc::default(),
+            shutdown: shutdown::Shutdown::default(),
             stage: atomic::AtomicU8::new(Stage::Serving as u8),
             last_store_failure_at: Mutex::new(clock::now()),
             last_store_response_at: Mutex::default(),
