fix(vm): a response still being sent in a planned stop is completed

What callers saw: a large response that a caller reads slowly broke off in a planned stop, although the process had time left.

Timeline: the response is encoded into the connection's buffer, and the request no longer counts as in progress; SIGTERM; at half of end_max admission closes, nothing is in progress, and the process ends 50 ms later with the rest of the response in its buffer.

Cause: a request was counted until its response was ready, not until it was sent; the fixed 50 ms were to cover the difference. The count now goes with the response and ends once the connection's buffer is empty. Where else: responses behind others on a pipelined connection, by the same count. Not covered: a caller that has not read its response by seven eighths of end_max.

--- a/crates/waxwing-vm/src/caller_connection.rs
+++ b/crates/waxwing-vm/src/caller_connection.rs
@@ -69,13 +69,21 @@
     pending_responses: cell::Cell<usize>,
 }
 
-/// A response with the codec that encodes it.
-type EncodableResponse = (http::Response, h1::Codec);
+/// A response with what sending it takes.
+struct EncodableResponse {
+    response: http::Response,
+    /// Encodes the response.
+    codec: h1::Codec,
+    /// Counts the request as in progress, if it was one.
+    in_flight: Option<forward::InFlightGuard>,
+}
 
 /// What a connection waits for.
 enum Event {
     /// The next response in order is ready.
     Response(EncodableResponse),
+    /// All written responses were sent, or can't be.
+    Sent,
     /// A request, an error or an idle timeout came from the reading side.
     Incoming(Incoming),
     /// The caller disconnected.
@@ -93,6 +101,7 @@
     let mut incoming = pin::pin!(stream::unfold(reader, RequestReader::next));
     let mut disconnected = pin::pin!(io.on_disconnect());
     let mut responses = stream::FuturesOrdered::new();
+    let mut unsent = Vec::new();
     let mut accepts_requests = true;
     loop {
         let may_read = accepts_requests && responses.len() < PIPELINED_MAX;
@@ -100,6 +109,9 @@
             if let task::Poll::Ready(Some(response)) = responses.poll_next_unpin(context) {
                 return task::Poll::Ready(Event::Response(response));
             }
+            if !unsent.is_empty() && io.poll_flush(context, true).is_ready() {
+                return task::Poll::Ready(Event::Sent);
+            }
             if may_read && let task::Poll::Ready(next) = incoming.as_mut().poll_next_unpin(context)
             {
                 return task::Poll::Ready(next.map_or(Event::Disconnected, Event::Incoming));
@@ -108,6 +120,7 @@
         });
         match event.await {
             Event::Disconnected => return,
+            Event::Sent => unsent.clear(),
             Event::Incoming(Incoming::Idle) if responses.is_empty() => break,
             Event::Incoming(Incoming::Idle) => (),
             Event::Incoming(Incoming::Malformed(status)) => {
@@ -119,7 +132,8 @@
                 accepts_requests &= codec.keepalive() && is_body_complete;
                 responses.push_back(respond(Work::Request(pending), codec, &vm, &pool));
             }
-            Event::Response(response) => {
+            Event::Response(mut response) => {
+                unsent.extend(response.in_flight.take());
                 accepts_requests &= vm.stage() == vm::Stage::Serving || state.is_reading.get();
                 let is_last = responses.is_empty() && !accepts_requests;
                 if !write(&io, response, is_last) || is_last {
@@ -129,7 +143,7 @@
         }
         state.pending_responses.set(responses.len());
     }
-    close(&io).await;
+    close(&io, unsent).await;
 }
 
 /// What a response is produced for.
@@ -144,16 +158,22 @@
     vm: &vm::Shared,
     pool: &forward::LocalPool,
 ) -> EncodableResponse {
-    let response = match work {
-        Work::Request(pending) => forward::forward(vm, pool, *pending).await,
-        Work::Malformed(status) => http::Response::new(status),
-    };
-    (response, codec)
+    match work {
+        Work::Request(pending) => {
+            let forward::ResponseForCaller { response, in_flight } =
+                forward::forward(vm, pool, *pending).await;
+            EncodableResponse { response, codec, in_flight: Some(in_flight) }
+        }
+        Work::Malformed(status) => {
+            EncodableResponse { response: http::Response::new(status), codec, in_flight: None }
+        }
+    }
 }
 
 /// Writes a response; returns false if it can't be encoded, or if the codec ends the connection
 /// although more responses were to follow.
-fn write(io: &io::IoBoxed, (response, codec): EncodableResponse, is_last: bool) -> bool {
+fn write(io: &io::IoBoxed, encodable: EncodableResponse, is_last: bool) -> bool {
+    let EncodableResponse { response, codec, .. } = encodable;
     let (mut head, body) = response.into_parts();
     if is_last {
         head.head_mut().set_connection_type(http::ConnectionType::Close);
@@ -175,10 +195,11 @@
     encoded.is_ok() && (codec.keepalive() || is_last)
 }
 
-/// Closes a connection after all written bytes were sent.
-async fn close(io: &io::IoBoxed) {
+/// Closes a connection after all written bytes were sent; `unsent` is dropped then.
+async fn close(io: &io::IoBoxed, unsent: Vec<forward::InFlightGuard>) {
     let closing = async {
         io.flush(true).await?;
+        drop(unsent);
         io.shutdown().await
     };
     match timer::timeout(FLUSH_TIMEOUT, closing).await {
--- a/crates/waxwing-vm/src/forward.rs
+++ b/crates/waxwing-vm/src/forward.rs
@@ -29,7 +29,7 @@
 pub type LocalPool = rc::Rc<connection_pool::ConnectionPool>;
 
 /// Counts a request as in progress until it is dropped.
-struct InFlightGuard(vm::Shared);
+pub struct InFlightGuard(vm::Shared);
 
 impl InFlightGuard {
     fn begin(vm: &vm::Shared) -> Self {
@@ -70,12 +70,20 @@
     PendingRequest { in_flight, request_id, log_entry, received }
 }
 
+/// A response for a caller.
+pub struct ResponseForCaller {
+    /// The response or the refusal.
+    pub response: web::HttpResponse,
+    /// Counts the request as in progress; held until the response was sent.
+    pub in_flight: InFlightGuard,
+}
+
 /// Admits a request, forwards it and returns the response or the refusal for the caller.
 pub async fn forward(
     vm: &vm::Shared,
     pool: &LocalPool,
     pending: PendingRequest,
-) -> web::HttpResponse {
+) -> ResponseForCaller {
     let PendingRequest { in_flight, request_id, mut log_entry, received } = pending;
     let result = match request_admission::admit(vm, received, &mut log_entry).await {
         Ok(request) => send_with_retries(vm, pool, &request, &mut log_entry).await,
@@ -93,8 +101,7 @@
             response
         }
     };
-    drop(in_flight);
-    response
+    ResponseForCaller { response, in_flight }
 }
 
 fn build_response(response: exchange::Response) -> web::HttpResponse {
