fix(entry): requests in a planned stop are no longer cut at its end

Timeline, with linger 0.5 s and finish_max 1.5 s, from the new test on the code before: at 0 s SIGTERM, requests are admitted with their whole deadline; at 0.5 s admission closes; at 2.0 s the wait for requests in progress is over; at 2.2 s the HTTP server has closed all connections of callers. The endpoint for other entry VMs goes on for up to 30 s, so forwarded requests were answered at 4 s, after the time at which the process is said to have ended.

Hypotheses: (1) requests from before the signal are cut, (2) those from the linger likewise, (3) a body that never becomes complete ends with no response, (4) requests after the linger are cut, (5) forwarded requests are cut. (1) to (3) were seen; (4) was not, but the 503 has no Retry-After; (5) was not seen.

Admission, the choice of a target, attempts, body reads and the wait for a slot now ask the same `Shutdown`, and requests of callers and of other entry VMs alike. A refusal by a VM that leaves says `retry-after: 0`.

The test gives its server 320 slots, since a new server gets a tenth of its slots each second; with 32 one forwarded request got 503 for lack of a spare slot on the code before.

Not covered: a response of which a part was sent when finish_max is over; an at-most-once request that waits for a slot when the signal comes is refused only when it gets one or when responses are due.

--- a/crates/waxwing-entry/src/entry.rs
+++ b/crates/waxwing-entry/src/entry.rs
@@ -8,6 +8,7 @@
 use waxwing_keeper_client::client;
 use waxwing_process::metrics;
 use waxwing_process::reporter;
+use waxwing_process::shutdown;
 
 use crate::failover;
 use crate::service_pools;
@@ -25,10 +26,8 @@
     pub failover: failover::Failover,
     /// Records events for the timeline.
     pub reporter: reporter::Reporter,
-    /// Whether the shutdown has begun; requests are still accepted.
-    pub is_stopping: atomic::AtomicBool,
-    /// Whether new requests are refused.
-    pub is_closed: atomic::AtomicBool,
+    /// When the process ends, once the shutdown has begun.
+    pub shutdown: shutdown::Shutdown,
     /// Requests whose responses have not ended.
     pub in_flight: sync::Arc<atomic::AtomicU64>,
     /// The metrics of requests and attempts.
--- a/crates/waxwing-entry/src/forward.rs
+++ b/crates/waxwing-entry/src/forward.rs
@@ -1,7 +1,5 @@
 //! Handles one request from its arrival to its response: admission, upstream attempts and retries.
 
-use std::sync::atomic;
-
 use ntex::client;
 use ntex::http;
 use ntex::http::body;
@@ -85,7 +83,7 @@
 /// During a shutdown, closes the caller's connection after the response, so that the caller opens
 /// its next one to another entry VM.
 fn close_if_stopping(entry: &entry::Entry, mut response: web::HttpResponse) -> web::HttpResponse {
-    if entry.is_stopping.load(atomic::Ordering::Acquire) {
+    if entry.shutdown.schedule().is_some() {
         response.head_mut().set_connection_type(http::ConnectionType::Close);
     }
     response
@@ -127,7 +125,7 @@
     admitted: &request_admission::AdmittedRequest,
     in_flight: entry::InFlightGuard,
 ) -> request_admission::Result<web::HttpResponse> {
-    let mut caller_body = request_body::receive(request, payload, admitted).await?;
+    let mut caller_body = request_body::receive(entry, request, payload, admitted).await?;
     let mut prior = target::PriorAttempts::default();
     let mut history = attempt::History::default();
     entry.pools.deposit_retry(&admitted.service.service);
@@ -161,7 +159,7 @@
     let upstream::Failure { state, fault, upload_error } = failure;
     let outcome = match history.decide(state, fault, admitted.repeatability, body_kind) {
         attempt::Action::Retry { otherwise } => {
-            let has_time = !admitted.time_left().is_zero();
+            let has_time = !admitted.time_left(entry).is_zero();
             if has_time && entry.pools.withdraw_retry(&admitted.service.service, attempts) {
                 return Ok(());
             }
@@ -192,7 +190,8 @@
     let started = event::Kind::AttemptStarted { target: target.name() };
     entry.reporter.report_with_context(admitted.event_context(), started);
     let upstream_request = build_upstream_request(entry, request, admitted, caller_body, &target);
-    match upstream::send(target.address(), upstream_request, admitted.time_left()).await {
+    let (address, deadline) = (target.address(), admitted.deadline);
+    match upstream::send(address, upstream_request, &entry.shutdown, deadline).await {
         Ok(response) => {
             target.set_outcome(backend_server::AttemptOutcome::Responded);
             Ok((response, target))
@@ -238,13 +237,13 @@
         }
     };
     add(headers::REQUEST_ID, admitted.request_id.to_string());
-    add(headers::DEADLINE_MS, admitted.time_left().as_millis().to_string());
+    add(headers::DEADLINE_MS, admitted.time_left(entry).as_millis().to_string());
     if let Some(organisation) = &admitted.organisation {
         add(headers::ORGANISATION, organisation.to_string());
     }
     if let (target::Target::EntryVm(_), Some(vm)) = (target, &entry.settings.vm) {
         add(headers::FORWARDED_BY, vm.to_string());
-        add(headers::TIMEOUT_MS, admitted.time_left().as_millis().max(1).to_string());
+        add(headers::TIMEOUT_MS, admitted.time_left(entry).as_millis().max(1).to_string());
         let is_idempotent = admitted.repeatability == attempt::Repeatability::Idempotent;
         add(headers::IDEMPOTENT, is_idempotent.to_string());
     }
--- a/crates/waxwing-entry/src/main.rs
+++ b/crates/waxwing-entry/src/main.rs
@@ -21,13 +21,18 @@
 use waxwing_process::clock;
 use waxwing_process::metrics;
 use waxwing_process::reporter;
+use waxwing_process::shutdown as process_shutdown;
 use waxwing_process::signal;
 use waxwing_process::timer;
+use waxwing_request::shutdown;
 use waxwing_timeline::event;
 
 /// How often a shutdown checks whether all requests have ended.
 const IN_FLIGHT_POLL_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
+/// How long sending the responses may take that are due when requests in progress have to end.
+const LAST_RESPONSES_MAX: time::Duration = time::Duration::from_millis(200);
+
 /// Milliseconds per second.
 const MS_PER_S: u64 = 1_000;
 
@@ -75,8 +80,7 @@
         pools,
         failover,
         reporter,
-        is_stopping: atomic::AtomicBool::new(false),
-        is_closed: atomic::AtomicBool::new(false),
+        shutdown: process_shutdown::Shutdown::default(),
         in_flight: sync::Arc::default(),
         counters: entry::Counters::new(metrics),
     }))
@@ -139,14 +143,13 @@
 /// then waits for the requests in progress.
 async fn shut_down(entry: &entry::Shared, server: &ntex::server::Server) {
     entry.reporter.report(event::Kind::Stopping);
-    entry.is_stopping.store(true, atomic::Ordering::Release);
-    timer::sleep(entry.settings.linger.duration()).await;
-    entry.is_closed.store(true, atomic::Ordering::Release);
-    let closed_at = clock::now();
-    let finish_max = entry.settings.finish_max.duration();
-    while entry.in_flight.load(atomic::Ordering::Acquire) > 0
-        && clock::now().since(closed_at) < finish_max
-    {
+    let started_at = clock::now();
+    let closes_at = started_at.after(entry.settings.linger.duration());
+    let responses_due_at = closes_at.after(entry.settings.finish_max.duration());
+    entry.shutdown.begin(shutdown::Schedule { started_at, closes_at, responses_due_at });
+    timer::sleep(closes_at.since(clock::now())).await;
+    let ends_at = responses_due_at.after(LAST_RESPONSES_MAX);
+    while entry.in_flight.load(atomic::Ordering::Acquire) > 0 && clock::now() < ends_at {
         timer::sleep(IN_FLIGHT_POLL_INTERVAL).await;
     }
     // Leaves time to send the last bytes of the last response.
--- a/crates/waxwing-entry/src/refusal.rs
+++ b/crates/waxwing-entry/src/refusal.rs
@@ -175,6 +175,10 @@
             let seconds = retry_after_ms.div_ceil(MS_PER_S).max(1);
             builder.header(http::header::RETRY_AFTER, seconds.to_string());
         }
+        // Another entry VM can serve the caller now.
+        if *self == Self::ShuttingDown {
+            builder.header(http::header::RETRY_AFTER, "0");
+        }
         builder.content_type("text/plain; charset=utf-8");
         builder.body(format!("{self}\n"))
     }
--- a/crates/waxwing-entry/src/request_admission.rs
+++ b/crates/waxwing-entry/src/request_admission.rs
@@ -1,7 +1,6 @@
 //! Decides whether a request may be forwarded: finds its service, checks its headers, authenticates
 //! the caller and charges its organisation.
 
-use std::sync::atomic;
 use std::time;
 
 use ntex::http;
@@ -12,6 +11,7 @@
 use waxwing_process::timer;
 use waxwing_record::record;
 use waxwing_request::attempt;
+use waxwing_request::shutdown;
 use waxwing_timeline::event;
 use waxwing_timeline::journal;
 use waxwing_units::digest;
@@ -58,9 +58,30 @@
         }
     }
 
-    /// Returns the time left until the deadline; zero once it has passed.
-    pub(crate) fn time_left(&self) -> time::Duration {
-        self.deadline.since(clock::now())
+    /// Returns the time left until the deadline, or until the last responses of the process are
+    /// due; zero once it has passed.
+    pub(crate) fn time_left(&self, entry: &entry::Entry) -> time::Duration {
+        entry.shutdown.limit(self.deadline).since(clock::now())
+    }
+
+    /// Returns what a shutdown's decision on this request depends on.
+    const fn shutdown_request(&self) -> shutdown::Request {
+        shutdown::Request {
+            deadline: self.deadline,
+            // Services do not state how long their requests take.
+            expected_duration: time::Duration::ZERO,
+            repeatability: self.repeatability,
+        }
+    }
+
+    /// Returns whether the request may be sent to a backend server now, rather than outlast the
+    /// process.
+    pub(crate) fn allows_attempt(&self, entry: &entry::Entry) -> bool {
+        let request = self.shutdown_request();
+        entry
+            .shutdown
+            .schedule()
+            .is_none_or(|schedule| schedule.allows_attempt(clock::now(), &request))
     }
 }
 
@@ -71,16 +92,13 @@
     request_id: &id::RequestId,
     received_at: units_time::MonoInstant,
 ) -> Result<AdmittedRequest> {
-    if entry.is_closed.load(atomic::Ordering::Acquire) {
-        return Err(refusal::Refusal::ShuttingDown);
-    }
     let records = entry.keeper.view().records;
     let service = records.service(service_name(request.path())).cloned();
     let service = service.ok_or(refusal::Refusal::UnknownService)?;
     check_len(request, &service)?;
     let timeout = timeout(request, &service)?;
     let organisation = headers::text(request.headers(), headers::ORGANISATION);
-    Ok(AdmittedRequest {
+    let admitted = AdmittedRequest {
         request_id: request_id.clone(),
         organisation: organisation.and_then(|name| name.parse().ok()),
         service,
@@ -89,7 +107,19 @@
         repeatability: repeatability(request),
         received_at,
         is_forwarded: true,
-    })
+    };
+    check_shutdown(entry, &admitted)?;
+    Ok(admitted)
+}
+
+/// Refuses new requests that the process would not outlast.
+fn check_shutdown(entry: &entry::Entry, admitted: &AdmittedRequest) -> Result<()> {
+    let request = admitted.shutdown_request();
+    let is_admitted = |schedule: shutdown::Schedule| schedule.admits(clock::now(), &request);
+    match entry.shutdown.schedule().is_none_or(is_admitted) {
+        true => Ok(()),
+        false => Err(refusal::Refusal::ShuttingDown),
+    }
 }
 
 /// Returns the first segment of a path, which names the service.
@@ -108,9 +138,6 @@
     received_at: units_time::MonoInstant,
     organisation: &mut Option<id::OrganisationId>,
 ) -> Result<AdmittedRequest> {
-    if entry.is_closed.load(atomic::Ordering::Acquire) {
-        return Err(refusal::Refusal::ShuttingDown);
-    }
     let records = entry.keeper.view().records;
     if records.revision == id::Revision(0) {
         return Err(refusal::Refusal::NoRecords);
@@ -132,6 +159,7 @@
         is_forwarded: false,
     };
     organisation.clone_from(&admitted.organisation);
+    check_shutdown(entry, &admitted)?;
     charge(entry, &admitted).await?;
     Ok(admitted)
 }
@@ -222,7 +250,7 @@
     let Some(organisation) = admitted.organisation.clone() else {
         return Ok(());
     };
-    let wait = admitted.time_left().min(entry.settings.charge_wait.duration());
+    let wait = admitted.time_left(entry).min(entry.settings.charge_wait.duration());
     let wait_ms = units_time::Millis(u64::try_from(wait.as_millis()).unwrap_or(u64::MAX));
     let charge_future = entry.keeper.charge(organisation, admitted.request_id.clone(), wait_ms);
     match timer::timeout(wait + KEEPER_RESPONSE_MARGIN, charge_future).await {
--- a/crates/waxwing-entry/src/request_body.rs
+++ b/crates/waxwing-entry/src/request_body.rs
@@ -5,9 +5,9 @@
 use ntex::http::header;
 use ntex::util as ntex_util;
 use ntex::web;
-use waxwing_process::timer;
 use waxwing_request::outcome;
 
+use crate::entry;
 use crate::refusal;
 use crate::request_admission;
 use crate::upload;
@@ -27,6 +27,7 @@
 /// Reads a short body whole, within the request's deadline; a long one or one without a length is
 /// left to be streamed.
 pub(crate) async fn receive(
+    entry: &entry::Entry,
     request: &web::HttpRequest,
     payload: web::types::Payload,
     admitted: &request_admission::AdmittedRequest,
@@ -37,10 +38,13 @@
         None if !has_body => Ok(RequestBody::Buffered(ntex_util::Bytes::new())),
         Some(len_bytes) if len_bytes <= BUFFERED_BODY_MAX_BYTES => {
             let reading = read_all(payload, len_bytes);
-            let read = timer::timeout(admitted.time_left(), reading).await;
+            let read = entry.shutdown.timeout(admitted.deadline, reading).await;
             let outcome = outcome::Outcome::NotRun;
-            read.unwrap_or(Err(refusal::Refusal::BodyIncomplete { outcome }))
-                .map(RequestBody::Buffered)
+            let read = read.unwrap_or_else(|_| match entry.shutdown.are_responses_due() {
+                true => Err(refusal::Refusal::ShuttingDown),
+                false => Err(refusal::Refusal::BodyIncomplete { outcome }),
+            });
+            read.map(RequestBody::Buffered)
         }
         _ => Ok(RequestBody::Streamed(Some(payload))),
     }
--- a/crates/waxwing-entry/src/target.rs
+++ b/crates/waxwing-entry/src/target.rs
@@ -4,7 +4,6 @@
 
 use waxwing_machine::backend_server;
 use waxwing_machine::entry_vm;
-use waxwing_process::timer;
 use waxwing_request::attempt;
 use waxwing_request::outcome;
 use waxwing_units::id;
@@ -74,10 +73,28 @@
     }
 }
 
+/// Selects the target of the next attempt, unless the process may end before the attempt does.
+pub(crate) async fn choose(
+    entry: &entry::Entry,
+    admitted: &request_admission::AdmittedRequest,
+    prior: &PriorAttempts,
+    history: &mut attempt::History,
+) -> request_admission::Result<Target> {
+    if !admitted.allows_attempt(entry) {
+        return Err(shutting_down(history));
+    }
+    let target = select(entry, admitted, prior, history).await?;
+    // The shutdown may have begun while the request waited for a slot.
+    match admitted.allows_attempt(entry) {
+        true => Ok(target),
+        false => Err(shutting_down(history)),
+    }
+}
+
 /// Selects the target of the next attempt.
 ///
 /// A request that another entry VM forwarded gets a spare slot of this machine or none.
-pub(crate) async fn choose(
+async fn select(
     entry: &entry::Entry,
     admitted: &request_admission::AdmittedRequest,
     prior: &PriorAttempts,
@@ -131,12 +148,25 @@
         }
         service_pools::Acquired::QueueFull => Err(no_slot(admitted, history)),
         service_pools::Acquired::Queued(mut queued) => {
-            let waited = timer::timeout(admitted.time_left(), queued.slot()).await;
+            let waited = entry.shutdown.timeout(admitted.deadline, queued.slot()).await;
             waited.ok().flatten().ok_or_else(|| no_slot(admitted, history))
         }
     }
 }
 
+/// Returns the refusal where the process may end before an attempt does. Its outcome includes
+/// earlier attempts, which may have run the request.
+const fn shutting_down(history: &attempt::History) -> refusal::Refusal {
+    match history.may_have_run() {
+        true => refusal::Refusal::Failed {
+            state: attempt::State::Waiting,
+            fault: attempt::Fault::DeadlineExceeded,
+            outcome: outcome::Outcome::Unknown,
+        },
+        false => refusal::Refusal::ShuttingDown,
+    }
+}
+
 /// Returns the refusal where no slot was released in time. Its outcome includes earlier attempts,
 /// which may have run the request.
 pub(crate) fn no_slot(
--- a/crates/waxwing-entry/src/upstream.rs
+++ b/crates/waxwing-entry/src/upstream.rs
@@ -16,8 +16,10 @@
 use ntex::http::header;
 use ntex::service;
 use ntex::util as ntex_util;
+use waxwing_process::shutdown;
 use waxwing_process::timer;
 use waxwing_request::attempt;
+use waxwing_units::time as units_time;
 
 use crate::headers;
 use crate::upload;
@@ -70,7 +72,8 @@
 /// The state of an attempt, shared by the connector and the sender.
 type StateCell = rc::Rc<cell::Cell<attempt::State>>;
 
-/// Sends a request and waits for the head of the response, within `timeout`.
+/// Sends a request and waits for the head of the response, until `deadline` or the end of the
+/// process.
 ///
 /// # Errors
 ///
@@ -78,7 +81,8 @@
 pub async fn send(
     address: net::SocketAddr,
     request: Request,
-    timeout: time::Duration,
+    shutdown: &shutdown::Shutdown,
+    deadline: units_time::MonoInstant,
 ) -> Result<client::ClientResponse, Failure> {
     let state: StateCell = rc::Rc::new(cell::Cell::new(attempt::State::Connecting));
     let upload_error = match &request.body {
@@ -87,7 +91,7 @@
     };
     let recipient = request.recipient;
     let send_future = send_on_new_connection(address, request, state.clone());
-    let result = timer::timeout(timeout, send_future).await;
+    let result = shutdown.timeout(deadline, send_future).await;
     let fault = match result {
         Ok(Ok(response)) => return check_outcome(recipient, response),
         Ok(Err(error)) => fault_of(&error, state.get()),
--- a/crates/waxwing-entry/tests/outcome_header.rs
+++ b/crates/waxwing-entry/tests/outcome_header.rs
@@ -9,6 +9,8 @@
 use ntex::http::header;
 use waxwing_entry::headers;
 use waxwing_entry::upstream;
+use waxwing_process::clock;
+use waxwing_process::shutdown;
 use waxwing_request::attempt;
 
 /// Starts a server that answers one request and says that it may not have run.
@@ -33,7 +35,9 @@
         headers: Vec::new(),
         body: upstream::Body::Buffered(ntex::util::Bytes::new()),
     };
-    upstream::send(server(), request, time::Duration::from_secs(5)).await.err().map(|f| f.fault)
+    let deadline = clock::now().after(time::Duration::from_secs(5));
+    let sent = upstream::send(server(), request, &shutdown::Shutdown::default(), deadline).await;
+    sent.err().map(|f| f.fault)
 }
 
 #[ntex::test]
--- a/crates/waxwing-session/src/deployment.rs
+++ b/crates/waxwing-session/src/deployment.rs
@@ -178,7 +178,12 @@
 
     /// Starts one process of an entry VM that was added before.
     pub fn start_process(&mut self, vm: &str, process: &str) {
-        let settings = self.write_settings(vm, process);
+        self.start_process_with(vm, process, "");
+    }
+
+    /// Starts one process of an entry VM that was added before, with more lines in its settings.
+    pub fn start_process_with(&mut self, vm: &str, process: &str, more_settings: &str) {
+        let settings = self.write_settings(vm, process, more_settings);
         let settings = settings.display().to_string();
         self.start_binary(&format!("{vm}.{process}"), process, &["--settings", &settings]);
     }
@@ -244,7 +249,7 @@
         serde_json::from_slice(&response.expect("a response of the process").body).expect("JSON")
     }
 
-    fn write_settings(&self, vm: &str, process: &str) -> path::PathBuf {
+    fn write_settings(&self, vm: &str, process: &str, more: &str) -> path::PathBuf {
         let domain = &self.vms.iter().find(|(name, _)| name == vm).expect("a known VM").1;
         let keeper = self.address(self.vm_number(vm), BASE_PORT + 1);
         let admin = self.admin_address(vm, process);
@@ -268,7 +273,7 @@
             ),
         };
         let text = format!(
-            "vm: {vm}\nfailure_domain: {domain}\nadmin_address: {admin}\n{process_settings}"
+            "vm: {vm}\nfailure_domain: {domain}\nadmin_address: {admin}\n{process_settings}{more}"
         );
         let path = self.directory.join(format!("{vm}.{process}.yaml"));
         fs::write(&path, text).expect("settings can be written");
--- a/crates/waxwing-session/tests/session/main.rs
+++ b/crates/waxwing-session/tests/session/main.rs
@@ -4,6 +4,7 @@
 mod examples;
 mod failures;
 mod path;
+mod planned_stop;
 mod responses;
 mod steering;
 mod support;
