fix(entry): a stop refuses at-most-once requests that wait for a slot at once

What callers saw: an at-most-once request that waited for a slot when the signal came was told so only when it got a slot, or when the last responses were due, up to linger + finish_max later; it could not be passed on any more all that while.

Cause: the wait for a slot ended with the deadline and did not ask the schedule when it changed. It does now (`Shutdown::timeout_before_attempt`): 503 with `retry-after: 0` at the signal. Both front ends ask `Shutdown` for the decision, in place of the schedule in four places.

--- a/crates/waxwing-entry/src/request_admission.rs
+++ b/crates/waxwing-entry/src/request_admission.rs
@@ -65,7 +65,7 @@
     }
 
     /// Returns what a shutdown's decision on this request depends on.
-    const fn shutdown_request(&self) -> shutdown::Request {
+    pub(crate) const fn shutdown_request(&self) -> shutdown::Request {
         shutdown::Request {
             deadline: self.deadline,
             // Services do not state how long their requests take.
@@ -77,11 +77,7 @@
     /// Returns whether the request may be sent to a backend server now, rather than outlast the
     /// process.
     pub(crate) fn allows_attempt(&self, entry: &entry::Entry) -> bool {
-        let request = self.shutdown_request();
-        entry
-            .shutdown
-            .schedule()
-            .is_none_or(|schedule| schedule.allows_attempt(clock::now(), &request))
+        entry.shutdown.allows_attempt(&self.shutdown_request())
     }
 }
 
@@ -112,11 +108,9 @@
     Ok(admitted)
 }
 
-/// Refuses new requests that the process would not outlast.
+/// Refuses new requests that might outlast the process.
 fn check_shutdown(entry: &entry::Entry, admitted: &AdmittedRequest) -> Result<()> {
-    let request = admitted.shutdown_request();
-    let is_admitted = |schedule: shutdown::Schedule| schedule.admits(clock::now(), &request);
-    match entry.shutdown.schedule().is_none_or(is_admitted) {
+    match entry.shutdown.admits(&admitted.shutdown_request()) {
         true => Ok(()),
         false => Err(refusal::Refusal::ShuttingDown),
     }
--- a/crates/waxwing-entry/src/target.rs
+++ b/crates/waxwing-entry/src/target.rs
@@ -148,8 +148,12 @@
         }
         service_pools::Acquired::QueueFull => Err(no_slot(admitted, history)),
         service_pools::Acquired::Queued(mut queued) => {
-            let waited = entry.shutdown.timeout(admitted.deadline, queued.slot()).await;
-            waited.ok().flatten().ok_or_else(|| no_slot(admitted, history))
+            let request = admitted.shutdown_request();
+            let waited = entry.shutdown.timeout_before_attempt(&request, queued.slot()).await;
+            waited.ok().flatten().ok_or_else(|| match entry.shutdown.allows_attempt(&request) {
+                true => no_slot(admitted, history),
+                false => shutting_down(history),
+            })
         }
     }
 }
--- a/crates/waxwing-process/src/shutdown.rs
+++ b/crates/waxwing-process/src/shutdown.rs
@@ -2,6 +2,7 @@
 
 use std::future;
 use std::pin;
+use std::task;
 
 use tokio::sync::watch;
 use waxwing_request::shutdown;
@@ -27,6 +28,17 @@
         *self.schedule.borrow()
     }
 
+    /// Returns whether a new request is accepted now; see [`shutdown::Schedule::admits`].
+    pub fn admits(&self, request: &shutdown::Request) -> bool {
+        self.schedule().is_none_or(|schedule| schedule.admits(clock::now(), request))
+    }
+
+    /// Returns whether a request may be passed on to a backend server now; see
+    /// [`shutdown::Schedule::allows_attempt`].
+    pub fn allows_attempt(&self, request: &shutdown::Request) -> bool {
+        self.schedule().is_none_or(|schedule| schedule.allows_attempt(clock::now(), request))
+    }
+
     /// Returns whether the last responses of the process are due.
     pub fn are_responses_due(&self) -> bool {
         self.schedule().is_some_and(|schedule| clock::now() >= schedule.responses_due_at)
@@ -47,6 +59,34 @@
         &self,
         deadline: units_time::MonoInstant,
         awaited: F,
+    ) -> Result<F::Output, timer::Elapsed> {
+        self.timeout_with(deadline, || self.limit(deadline), awaited).await
+    }
+
+    /// Awaits a future that an attempt needs, until the deadline of `request` or until the shutdown
+    /// no longer allows the attempt.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`timer::Elapsed`] if the time has passed first; the future is dropped then.
+    pub async fn timeout_before_attempt<F: future::Future>(
+        &self,
+        request: &shutdown::Request,
+        awaited: F,
+    ) -> Result<F::Output, timer::Elapsed> {
+        let limit = || match self.allows_attempt(request) {
+            true => self.limit(request.deadline),
+            false => units_time::MonoInstant::default(),
+        };
+        self.timeout_with(request.deadline, limit, awaited).await
+    }
+
+    /// Awaits a future until `deadline`; once the shutdown has begun, until what `limit` returns.
+    async fn timeout_with<F: future::Future>(
+        &self,
+        deadline: units_time::MonoInstant,
+        limit: impl Fn() -> units_time::MonoInstant,
+        awaited: F,
     ) -> Result<F::Output, timer::Elapsed> {
         let mut changes = self.schedule.subscribe();
         let mut awaited = pin::pin!(awaited);
@@ -60,7 +100,7 @@
                 return Ok(output);
             }
         }
-        timer::timeout(self.limit(deadline).since(clock::now()), awaited).await
+        timer::timeout(limit().since(clock::now()), awaited).await
     }
 }
 
@@ -72,8 +112,8 @@
 ) -> Option<F::Output> {
     let mut other = pin::pin!(other);
     future::poll_fn(|context| match awaited.as_mut().poll(context) {
-        std::task::Poll::Ready(output) => std::task::Poll::Ready(Some(output)),
-        std::task::Poll::Pending => other.as_mut().poll(context).map(|()| None),
+        task::Poll::Ready(output) => task::Poll::Ready(Some(output)),
+        task::Poll::Pending => other.as_mut().poll(context).map(|()| None),
     })
     .await
 }
--- a/crates/waxwing-session/tests/session/planned_stop.rs
+++ b/crates/waxwing-session/tests/session/planned_stop.rs
@@ -17,7 +17,7 @@
 const WORK_MS: u64 = 4_000;
 
 /// The time between the start of the first requests and the signal.
-const SIGNAL_AFTER_MS: i64 = 500;
+const SIGNAL_AFTER_MS: u64 = 500;
 
 /// How a request reaches the entry process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,87 +30,81 @@
     IncompleteBody,
     /// Forwarded by another entry VM.
     Forwarded,
+    /// To a service whose server has one slot at first.
+    OneSlot,
 }
 
-/// A request at an instant of the stop.
-#[derive(Debug, Clone, Copy)]
-struct Case {
-    /// When it is sent, in milliseconds after the signal.
-    sent_at_ms: i64,
-    method: &'static str,
-    timeout_ms: u64,
-    way: Way,
-    expected: (u16, &'static str),
-}
+/// When a request is sent, in milliseconds after the signal, or before it if negative; its method
+/// and timeout in milliseconds; how it reaches the process; and its response.
+type Case = (i64, &'static str, u64, Way, (u16, &'static str));
 
 const UNKNOWN: (u16, &str) = (504, "unknown");
 
 const NOT_RUN: (u16, &str) = (503, "not-run");
 
-#[rustfmt::skip]
-const CASES: [Case; 14] = [
-    Case { sent_at_ms: -300, method: "GET", timeout_ms: 5_000, way: Way::New, expected: UNKNOWN },
-    Case { sent_at_ms: -300, method: "POST", timeout_ms: 5_000, way: Way::New, expected: UNKNOWN },
-    Case { sent_at_ms: -300, method: "POST", timeout_ms: 5_000, way: Way::Kept, expected: UNKNOWN },
-    Case { sent_at_ms: -300, method: "POST", timeout_ms: 5_000, way: Way::Forwarded, expected: UNKNOWN },
-    Case { sent_at_ms: -300, method: "POST", timeout_ms: 5_000, way: Way::IncompleteBody, expected: NOT_RUN },
-    Case { sent_at_ms: 200, method: "GET", timeout_ms: 5_000, way: Way::New, expected: UNKNOWN },
-    Case { sent_at_ms: 200, method: "POST", timeout_ms: 5_000, way: Way::New, expected: NOT_RUN },
-    Case { sent_at_ms: 200, method: "POST", timeout_ms: 5_000, way: Way::Kept, expected: NOT_RUN },
-    Case { sent_at_ms: 200, method: "POST", timeout_ms: 1_000, way: Way::New, expected: UNKNOWN },
-    Case { sent_at_ms: 200, method: "GET", timeout_ms: 5_000, way: Way::Forwarded, expected: UNKNOWN },
-    Case { sent_at_ms: 200, method: "POST", timeout_ms: 5_000, way: Way::Forwarded, expected: NOT_RUN },
-    Case { sent_at_ms: 800, method: "GET", timeout_ms: 5_000, way: Way::New, expected: NOT_RUN },
-    Case { sent_at_ms: 800, method: "POST", timeout_ms: 5_000, way: Way::Kept, expected: NOT_RUN },
-    Case { sent_at_ms: 1_700, method: "POST", timeout_ms: 1_000, way: Way::Forwarded, expected: NOT_RUN },
+const CASES: [Case; 16] = [
+    (-400, "POST", 5_000, Way::OneSlot, UNKNOWN),
+    (-300, "GET", 5_000, Way::New, UNKNOWN),
+    (-300, "POST", 5_000, Way::New, UNKNOWN),
+    (-300, "POST", 5_000, Way::Kept, UNKNOWN),
+    (-300, "POST", 5_000, Way::Forwarded, UNKNOWN),
+    (-300, "POST", 5_000, Way::IncompleteBody, NOT_RUN),
+    (-200, "POST", 5_000, Way::OneSlot, NOT_RUN),
+    (200, "GET", 5_000, Way::New, UNKNOWN),
+    (200, "POST", 5_000, Way::New, NOT_RUN),
+    (200, "POST", 5_000, Way::Kept, NOT_RUN),
+    (200, "POST", 1_000, Way::New, UNKNOWN),
+    (200, "GET", 5_000, Way::Forwarded, UNKNOWN),
+    (200, "POST", 5_000, Way::Forwarded, NOT_RUN),
+    (800, "GET", 5_000, Way::New, NOT_RUN),
+    (800, "POST", 5_000, Way::Kept, NOT_RUN),
+    (1_700, "POST", 1_000, Way::Forwarded, NOT_RUN),
 ];
 
-fn sleep_until(base: time::Instant, ms: i64) {
-    let instant = base + time::Duration::from_millis(u64::try_from(ms).expect("not negative"));
+fn sleep_until(base: time::Instant, ms: u64) {
+    let instant = base + time::Duration::from_millis(ms);
     thread::sleep(instant.saturating_duration_since(time::Instant::now()));
 }
 
-impl Case {
-    /// Sends the request and returns why its response is wrong, if it is.
-    fn fault(
-        &self,
-        deployment: &deployment::Deployment,
-        key: &str,
-        base: time::Instant,
-    ) -> Option<String> {
-        let (vm, is_forwarded) = (support::VMS[0], self.way == Way::Forwarded);
-        let address = match is_forwarded {
-            true => deployment.forward_address(vm),
-            false => deployment.entry_address(vm),
-        };
-        let mut request = support::keyed_request(self.method, "/ledger/stop", key)
-            .header("waxwing-timeout-ms", &self.timeout_ms.to_string());
-        if self.method == "POST" {
-            request = request.body(vec![b'x'; 100]);
-        }
-        let mut kept = None;
-        if self.way == Way::Kept {
-            let unknown = caller::Request::new("GET", "/no-service/quick");
-            let stream = kept.insert(caller::connect(address).expect("a connection"));
-            stream.write_all(&unknown.head(false)).expect("sent");
-            caller::read_response(stream).expect("a response before the signal");
-        }
-        sleep_until(base, SIGNAL_AFTER_MS + self.sent_at_ms);
-        let mut stream = kept.unwrap_or_else(|| caller::connect(address).expect("a connection"));
-        let sent_at = time::Instant::now();
-        let missing = usize::from(self.way == Way::IncompleteBody);
-        let body = &request.body[..request.body.len() - missing];
-        drop(stream.write_all(&[request.head(false).as_slice(), body].concat()));
-        let response = caller::read_response(&mut stream).unwrap_or_default();
-        let took_ms = sent_at.elapsed().as_millis();
-        let (status, outcome) = (response.status, response.header("waxwing-outcome"));
-        let text = response.text();
-        let is_refused_at_once = status == 503 && missing == 0;
-        let may_return = is_forwarded || !response.header("retry-after").is_empty();
-        let is_right = (status, outcome) == self.expected
-            && (!is_refused_at_once || (took_ms < 500 && may_return));
-        (!is_right).then(|| format!("{self:?}: {status} {outcome} {text:?} after {took_ms} ms"))
+/// Sends the request of a case and returns why its response is wrong, if it is.
+fn fault(
+    case: Case,
+    deployment: &deployment::Deployment,
+    key: &str,
+    base: time::Instant,
+) -> Option<String> {
+    let (at_ms, method, timeout_ms, way, expected) = case;
+    let address = match way {
+        Way::Forwarded => deployment.forward_address(support::VMS[0]),
+        _ => deployment.entry_address(support::VMS[0]),
+    };
+    let path = if way == Way::OneSlot { "/hours/stop" } else { "/ledger/stop" };
+    let mut request = support::keyed_request(method, path, key)
+        .header("waxwing-timeout-ms", &timeout_ms.to_string());
+    if method == "POST" {
+        request = request.body(vec![b'x'; 100]);
+    }
+    let mut kept = None;
+    if way == Way::Kept {
+        let unknown = caller::Request::new("GET", "/no-service/quick");
+        let stream = kept.insert(caller::connect(address).expect("a connection"));
+        stream.write_all(&unknown.head(false)).expect("sent");
+        caller::read_response(stream).expect("a response before the signal");
     }
+    sleep_until(base, SIGNAL_AFTER_MS.saturating_add_signed(at_ms));
+    let mut stream = kept.unwrap_or_else(|| caller::connect(address).expect("a connection"));
+    let sent_at = time::Instant::now();
+    let missing = usize::from(way == Way::IncompleteBody);
+    let body = &request.body[..request.body.len() - missing];
+    drop(stream.write_all(&[request.head(false).as_slice(), body].concat()));
+    let response = caller::read_response(&mut stream).unwrap_or_default();
+    let took_ms = sent_at.elapsed().as_millis();
+    let (status, outcome) = (response.status, response.header("waxwing-outcome"));
+    let is_prompt = missing > 0 || took_ms < 500;
+    let may_return = way == Way::Forwarded || !response.header("retry-after").is_empty();
+    let is_refusal_right = status != 503 || (is_prompt && may_return);
+    ((status, outcome) != expected || !is_refusal_right)
+        .then(|| format!("{case:?}: {status} {outcome} {:?} after {took_ms} ms", response.text()))
 }
 
 #[test]
@@ -119,7 +113,7 @@
     // A server that has just come gets only a part of its slots.
     deployment.start_backend("ledger-1", 1, 320);
     deployment.start_vms(&[(support::VMS[0], "lautoka")]);
-    deployment.apply(&support::records(&deployment).replace("slots: 3", "slots: 320"));
+    deployment.apply(&support::records(&deployment).replacen("slots: 3", "slots: 320", 2));
     let key = deployment.issue_key("kiln-1", "kiln");
     let entry = format!("{}.waxwing-entry", support::VMS[0]);
     deployment.kill(&entry);
@@ -129,8 +123,10 @@
     support::set_backend_control(&deployment, 1, &control);
     let base = time::Instant::now();
     let faults: Vec<String> = thread::scope(|scope| {
-        let cases: Vec<_> =
-            CASES.iter().map(|case| scope.spawn(|| case.fault(&deployment, &key, base))).collect();
+        let cases: Vec<_> = CASES
+            .iter()
+            .map(|case| scope.spawn(|| fault(*case, &deployment, &key, base)))
+            .collect();
         sleep_until(base, SIGNAL_AFTER_MS);
         deployment.signal(&entry, "TERM");
         cases.into_iter().filter_map(|case| case.join().expect("no panic")).collect()
--- a/crates/waxwing-vm/src/request_admission.rs
+++ b/crates/waxwing-vm/src/request_admission.rs
@@ -143,10 +143,7 @@
     let route = route.ok_or(refusal::Refusal::NoRoute)?;
     log_entry.record_route(&route.name);
     let body = body?;
-    let is_admitted = |schedule: shutdown::Schedule| {
-        schedule.admits(clock::now(), &shutdown_request(&route, deadline))
-    };
-    if !vm.shutdown.schedule().is_none_or(is_admitted) {
+    if !vm.shutdown.admits(&shutdown_request(&route, deadline)) {
         return Err(refusal::Refusal::ShuttingDown);
     }
     let organisation = authenticate(vm, &table, &route, &incoming)?;
@@ -220,11 +217,7 @@
 /// Returns an error if the process may end before the attempt does, if the key no longer belongs to
 /// the charged organisation, or if the configuration is missing or too old to determine that.
 pub fn recheck(vm: &vm::Vm, request: &AdmittedRequest) -> refusal::Result<()> {
-    let is_allowed = |schedule: shutdown::Schedule| {
-        let shutdown_request = shutdown_request(&request.route, request.deadline);
-        schedule.allows_attempt(clock::now(), &shutdown_request)
-    };
-    if !vm.shutdown.schedule().is_none_or(is_allowed) {
+    if !vm.shutdown.allows_attempt(&shutdown_request(&request.route, request.deadline)) {
         return Err(refusal::Refusal::ShuttingDown);
     }
     recheck_key(vm, request)
