--- a/crates/waxwing-entry/src/refusal.rs
+++ b/crates/waxwing-entry/src/refusal.rs
@@ -213,6 +213,10 @@
         if let Some(seconds) = self.retry_after_s() {
             builder.header(http::header::RETRY_AFTER, seconds.to_string());
         }
+        // Another entry VM can serve the caller now.
+        if *self == Self::ShuttingDown {
+            builder.header(http::header::RETRY_AFTER, "0");
+        }
         builder.content_type("text/plain; charset=utf-8");
         builder.body(format!("{self}\n"))
     }
--- a/crates/waxwing-entry/src/request_admission.rs
+++ b/crates/waxwing-entry/src/request_admission.rs
@@ -1,7 +1,6 @@
 //! Decides whether a request may be forwarded: finds its service, checks its headers, authenticates
 //! the caller and charges its organisation.
 
-use std::sync::atomic;
 use std::time;
 
 use ntex::http;
@@ -12,6 +11,7 @@
 use waxwing_process::timer;
 use waxwing_record::record;
 use waxwing_request::attempt;
+use waxwing_request::shutdown;
 use waxwing_route::staleness;
 use waxwing_timeline::event;
 use waxwing_timeline::journal;
@@ -62,9 +62,26 @@
         }
     }
 
-    /// Returns the time left until the deadline; zero once it has passed.
-    pub(crate) fn time_left(&self) -> time::Duration {
-        self.deadline.since(clock::now())
+    /// Returns the time left until the deadline, or until the last responses of the process are
+    /// due; zero once it has passed.
+    pub(crate) fn time_left(&self, entry: &entry::Entry) -> time::Duration {
+        entry.shutdown.limit(self.deadline).since(clock::now())
+    }
+
+    /// Returns what a shutdown's decision on this request depends on.
+    pub(crate) const fn shutdown_request(&self) -> shutdown::Request {
+        shutdown::Request {
+            deadline: self.deadline,
+            // Services do not state how long their requests take.
+            expected_duration: time::Duration::ZERO,
+            repeatability: self.repeatability,
+        }
+    }
+
+    /// Returns whether the request may be sent to a backend server now, rather than outlast the
+    /// process.
+    pub(crate) fn allows_attempt(&self, entry: &entry::Entry) -> bool {
+        entry.shutdown.allows_attempt(&self.shutdown_request())
     }
 }
 
@@ -82,16 +99,13 @@
     request_id: &id::RequestId,
     received_at: units_time::MonoInstant,
 ) -> Result<AdmittedRequest> {
-    if entry.is_closed.load(atomic::Ordering::Acquire) {
-        return Err(refusal::Refusal::ShuttingDown);
-    }
     let records = entry.keeper.view().records;
     let service = records.service(service_name(request.path())).cloned();
     let service = service.ok_or(refusal::Refusal::UnknownService)?;
     check_len(request, &service)?;
     let timeout = timeout(request, &service)?;
     let organisation = headers::text(request.headers(), headers::ORGANISATION);
-    Ok(AdmittedRequest {
+    let admitted = AdmittedRequest {
         request_id: request_id.clone(),
         organisation: organisation.and_then(|name| name.parse().ok()),
         service,
@@ -100,7 +114,17 @@
         repeatability: repeatability(request),
         received_at,
         is_forwarded: true,
-    })
+    };
+    check_shutdown(entry, &admitted)?;
+    Ok(admitted)
+}
+
+/// Refuses new requests that might outlast the process.
+fn check_shutdown(entry: &entry::Entry, admitted: &AdmittedRequest) -> Result<()> {
+    match entry.shutdown.admits(&admitted.shutdown_request()) {
+        true => Ok(()),
+        false => Err(refusal::Refusal::ShuttingDown),
+    }
 }
 
 /// Returns the first segment of a path, which names the service.
@@ -119,9 +143,6 @@
     received_at: units_time::MonoInstant,
     organisation: &mut Option<id::OrganisationId>,
 ) -> Result<AdmittedRequest> {
-    if entry.is_closed.load(atomic::Ordering::Acquire) {
-        return Err(refusal::Refusal::ShuttingDown);
-    }
     let records = entry.keeper.view().records;
     if records.revision == id::Revision(0) {
         return Err(refusal::Refusal::NoRecords);
@@ -143,6 +164,7 @@
         is_forwarded: false,
     };
     organisation.clone_from(&admitted.organisation);
+    check_shutdown(entry, &admitted)?;
     charge(entry, &admitted).await?;
     Ok(admitted)
 }
@@ -233,7 +255,7 @@
     let Some(organisation) = admitted.organisation.clone() else {
         return Ok(());
     };
-    let wait = admitted.time_left().min(entry.settings.charge_wait.duration());
+    let wait = admitted.time_left(entry).min(entry.settings.charge_wait.duration());
     let wait_ms = units_time::Millis(u64::try_from(wait.as_millis()).unwrap_or(u64::MAX));
     let charge_future = entry.keeper.charge(organisation, admitted.request_id.clone(), wait_ms);
     match timer::timeout(wait + KEEPER_RESPONSE_MARGIN, charge_future).await {
--- a/crates/waxwing-request/src/lib.rs
+++ b/crates/waxwing-request/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`retry`]: a retry budget that each machine applies by itself.
 //! * [`queue`]: a fair queue of requests that wait for a slot at a backend server.
 //! * [`return_schedule`]: when callers whose requests were refused should come back.
+//! * [`shutdown`]: which requests a machine still passes on during a shutdown.
 
 pub mod attempt;
 pub mod body_length;
@@ -17,3 +18,4 @@
 pub mod queue;
 pub mod retry;
 pub mod return_schedule;
+pub mod shutdown;
--- a/crates/waxwing-vm/src/request_admission.rs
+++ b/crates/waxwing-vm/src/request_admission.rs
@@ -10,7 +10,7 @@
 use ntex::http::header;
 use ntex::util as ntex_util;
 use waxwing_process::clock;
-use waxwing_process::timer;
+use waxwing_request::shutdown;
 use waxwing_route::route;
 use waxwing_route::staleness;
 use waxwing_route::table;
@@ -51,9 +51,10 @@
 }
 
 impl AdmittedRequest {
-    /// Returns the time left until the deadline; zero once it has passed.
-    pub fn time_left(&self) -> time::Duration {
-        self.deadline.since(clock::now())
+    /// Returns the time left until the deadline, or until this VM's last responses are due; zero
+    /// once it has passed.
+    pub fn time_left(&self, vm: &vm::Vm) -> time::Duration {
+        vm.shutdown.limit(self.deadline).since(clock::now())
     }
 
     /// Returns the affinity key, qualified by the route's path prefix so that equal keys of
@@ -151,17 +152,17 @@
     log_entry: &mut access_log::AccessLogEntry,
 ) -> refusal::Result<AdmittedRequest> {
     let ReceivedRequest { incoming, method, headers, table, route, deadline, body, .. } = received;
-    if vm.stage() == vm::Stage::Closed {
-        return Err(refusal::Refusal::ShuttingDown);
-    }
     let table = table.ok_or(refusal::Refusal::NoConfiguration)?;
     let route = route.ok_or(refusal::Refusal::NoRoute)?;
     log_entry.record_route(&route.name);
     let body = body?;
+    if !vm.shutdown.admits(&shutdown_request(&route, deadline)) {
+        return Err(refusal::Refusal::ShuttingDown);
+    }
     let organisation = authenticate(vm, &table, &route, &incoming)?;
     log_entry.record_organisation(organisation.as_ref());
     if let Some(organisation) = &organisation {
-        let charged = contracts::charge(vm, organisation, deadline).await;
+        let charged = contracts::charge(vm, organisation, vm.shutdown.limit(deadline)).await;
         vm.counters.count_charge(if charged.is_ok() { "charged" } else { "refused" });
         charged.map_err(refusal::Refusal::NotCharged)?;
     }
@@ -209,14 +210,35 @@
     }
 }
 
-/// Checks the key again right before an attempt, by the configuration in force at that time, since
-/// the key may have been withdrawn after the request was admitted.
+/// Returns what a shutdown's decision on a request depends on.
+const fn shutdown_request(
+    route: &route::Route,
+    deadline: units_time::MonoInstant,
+) -> shutdown::Request {
+    shutdown::Request {
+        deadline,
+        expected_duration: route.latency_objective,
+        repeatability: route.repeatability,
+    }
+}
+
+/// Checks again right before an attempt whether the request may run, since its key may have been
+/// withdrawn, or a shutdown begun, after the request was admitted.
 ///
 /// # Errors
 ///
-/// Returns an error if the key was withdrawn or belongs to another organisation than the charged
-/// one, or if the configuration is missing or too old to determine that.
-pub fn recheck_key(vm: &vm::Vm, request: &AdmittedRequest) -> refusal::Result<()> {
+/// Returns an error if the process may end before the attempt does, if the key was withdrawn or
+/// belongs to another organisation than the charged one, or if the configuration is missing or too
+/// old to determine that.
+pub fn recheck(vm: &vm::Vm, request: &AdmittedRequest) -> refusal::Result<()> {
+    if !vm.shutdown.allows_attempt(&shutdown_request(&request.route, request.deadline)) {
+        return Err(refusal::Refusal::ShuttingDown);
+    }
+    recheck_key(vm, request)
+}
+
+/// Checks the key by the configuration in force now.
+fn recheck_key(vm: &vm::Vm, request: &AdmittedRequest) -> refusal::Result<()> {
     let Some(organisation) = &request.organisation else {
         return Ok(());
     };
@@ -258,8 +280,11 @@
 ) -> refusal::Result<BufferedBody> {
     let max_bytes = table.map_or(u64::MAX, |table| table.limits().body_max_bytes.0);
     let reading = read_chunks(vm, body, max_bytes);
-    let read = timer::timeout(deadline.since(clock::now()), reading).await;
-    read.unwrap_or(Err(refusal::Refusal::BodyTimeout))
+    let read = vm.shutdown.timeout(deadline, reading).await;
+    read.unwrap_or_else(|_| match vm.shutdown.are_responses_due() {
+        true => Err(refusal::Refusal::ShuttingDown),
+        false => Err(refusal::Refusal::BodyTimeout),
+    })
 }
 
 async fn read_chunks(
