fix(process): a timeout ends in time while its future reads without a pause

Cause: the runtime looks at its timers only after many rounds while a task is ready, and each round of the HTTP library decodes a buffer byte by byte. A timeout that has passed was not noticed though the task was polled. Class: asking the timer instead of the clock. timer::timeout now compares the clock whenever its future is pending, which covers reads of the store, of callers and of backend servers alike.

--- a/crates/waxwing-process/src/timer.rs
+++ b/crates/waxwing-process/src/timer.rs
@@ -5,8 +5,12 @@
 //! delays every task that waits on them.
 
 use std::future;
+use std::pin;
+use std::task;
 use std::time;
 
+use tokio::time as tokio_time;
+
 /// The error of [`timeout`] when the time limit passes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("the time limit has passed")]
@@ -14,7 +18,7 @@
 
 /// Waits for at least `span`.
 pub async fn sleep(span: time::Duration) {
-    tokio::time::sleep(span).await;
+    tokio_time::sleep(span).await;
 }
 
 /// Awaits a future for `limit` at most.
@@ -26,5 +30,21 @@
     limit: time::Duration,
     awaited: F,
 ) -> Result<F::Output, Elapsed> {
-    tokio::time::timeout(limit, awaited).await.map_err(|_| Elapsed)
+    let Some(deadline) = tokio_time::Instant::now().checked_add(limit) else {
+        return Ok(awaited.await);
+    };
+    let mut awaited = pin::pin!(awaited);
+    let mut sleep = pin::pin!(tokio_time::sleep_until(deadline));
+    future::poll_fn(|context| {
+        if let task::Poll::Ready(output) = awaited.as_mut().poll(context) {
+            return task::Poll::Ready(Ok(output));
+        }
+        // The runtime does not look at its timers for many rounds while tasks are ready, as one is
+        // that reads without end.
+        if tokio_time::Instant::now() >= deadline {
+            return task::Poll::Ready(Err(Elapsed));
+        }
+        sleep.as_mut().poll(context).map(|()| Err(Elapsed))
+    })
+    .await
 }
