feat(machine): one state of a backend server process, from registrations and responses

Draining was known only from the store, and nothing could hold a backoff. `availability` merges what the store and responses say of one process into a closed enum; a response's word is never undone by a registration, which may be older. `retry_after` parses the delay that a server asks for.

Weighed: a state machine with an edge for each pair. A flapping registration would lose a backoff there, so the statements are kept apart and the state follows from them.

--- a/crates/waxwing-machine/src/lib.rs
+++ b/crates/waxwing-machine/src/lib.rs
@@ -21,9 +21,12 @@
 //! * [`server_set`]: the backend servers in use, through outages of the store.
 //! * [`placement`]: choice among all backend servers of a service by object affinity.
 //! * `pooled_server`: one server of such a choice.
+//! * [`availability`]: whether a server accepts new requests, by its registration and responses.
+//! * [`retry_after`]: the delay that a server asks for.
 //! * [`server_order`]: order of a service's servers for an object, with a cache.
 //! * [`server_health`]: health and load of one backend server, by the outcomes of requests.
 
+pub mod availability;
 pub mod backend_server;
 pub mod entry_choice;
 pub mod entry_vm;
@@ -32,6 +35,7 @@
 pub mod placement;
 pub mod pool;
 mod pooled_server;
+pub mod retry_after;
 pub mod server_health;
 pub mod server_list;
 pub mod server_order;
--- a/crates/waxwing-machine/tests/machine/main.rs
+++ b/crates/waxwing-machine/tests/machine/main.rs
@@ -1,5 +1,6 @@
 //! Tests of entry VMs and backend servers, with a module for each tested module of the crate.
 
+mod availability;
 mod backend_server;
 mod entry_choice;
 mod fleet;
