feat(vm): servers that announce draining or ask for a backoff get no new requests

- What the head of a response says is applied before its body is read, so a body that breaks off, never ends or can't be forwarded loses nothing.
A response without the request's id says nothing.
- Draining holds for name and incarnation, through registrations that still say ready and through lists that omit the server for a while.
A 421 excludes the process likewise; it used to come back with the next list, 200 ms later.
Neither clears the order cache.
- The state is asked at the choice, before the request is written, and after a connection was opened.
A request that is withheld then goes to another server and takes nothing from the retry budget.
- After a backoff or an ejection: one request, then 2, 4, ... with each success.
- If all servers back off, the refusal says for how long, with a spread of 0.5 s.
- Any 503 with the request's id counts, declared as not run or not: a server that asks for a pause gets one.
With another status Retry-After is forwarded and not acted upon.

Weighed: removing the server from the pool. It clears the order cache on each change and the next list brings the server back.

--- a/crates/waxwing-entry/src/forward.rs
+++ b/crates/waxwing-entry/src/forward.rs
@@ -216,6 +216,7 @@
         | attempt::Fault::MalformedResponse => backend_server::AttemptOutcome::Failed,
         attempt::Fault::DeclaredNotRun
         | attempt::Fault::NoSlot
+        | attempt::Fault::ServerUnavailable
         | attempt::Fault::CallerDisconnected
         | attempt::Fault::UploadInterrupted => backend_server::AttemptOutcome::Shed,
     }
--- a/crates/waxwing-machine/src/placement.rs
+++ b/crates/waxwing-machine/src/placement.rs
@@ -18,6 +18,7 @@
 use waxwing_units::rate;
 use waxwing_units::time as units_time;
 
+use crate::availability;
 use crate::pooled_server;
 use crate::server_health;
 use crate::server_order;
@@ -86,7 +87,7 @@
 pub enum Choice {
     /// A server that has a free slot or space in its queue, with the lease of a slot.
     Server(Lease),
-    /// No server at present: all are full, ejected or cold.
+    /// No server at present: all are full, backing off, ejected or cold.
     Full,
     /// No server may run the request.
     NoneEligible,
@@ -114,6 +115,7 @@
     options: Options,
     servers: Vec<pooled_server::PooledServer>,
     orders: server_order::OrderCache,
+    memory: availability::Memory,
     cold_interval: time::Duration,
 }
 
@@ -135,18 +137,18 @@
 }
 
 impl Pool {
-    /// Replaces the servers with `known`, those of this service, sorted by name. A server keeps
-    /// its state until its process restarts.
+    /// Replaces the servers with `known`, those of this service, sorted by name, and returns the
+    /// changes of their states. A server keeps its state until its process restarts.
     pub fn update(
         &mut self,
         now: units_time::MonoInstant,
         known: &[&server_set::KnownServer],
         context: &Context<'_>,
-    ) {
+    ) -> Vec<availability::Transition> {
         self.options = context.options;
         self.cold_interval = cold_interval(context.cold_rate_per_second);
-        let previous = std::mem::take(&mut self.servers);
-        self.servers = known
+        let mut previous = std::mem::take(&mut self.servers);
+        let mut servers: Vec<_> = known
             .iter()
             .map(|known| {
                 let found = previous.binary_search_by(|p| {
@@ -155,14 +157,83 @@
                 let same = found.ok().map(|at| &previous[at]).filter(|server| {
                     server.known.registration.started == known.registration.started
                 });
-                pooled_server::PooledServer::updated(now, same, known, context)
+                pooled_server::PooledServer::updated(now, same, &self.memory, known, context)
             })
             .collect();
-        let has_same_order = previous.len() == self.servers.len()
-            && previous.iter().zip(&self.servers).all(|(a, b)| a.has_order_of(b));
+        let has_same_order = previous.len() == servers.len()
+            && previous.iter().zip(&servers).all(|(a, b)| a.has_order_of(b));
         if !has_same_order {
             self.orders.clear();
         }
+        let mut transitions = self.retire_missing(now, &mut previous, &servers);
+        for server in &mut servers {
+            let registered = availability::Observation::Registered(server.known.registration.state);
+            transitions.extend(server.observe(now, registered));
+        }
+        self.servers = servers;
+        transitions
+    }
+
+    /// Remembers the processes of `previous` that are not in `servers`, and returns their changes
+    /// of state.
+    fn retire_missing(
+        &mut self,
+        now: units_time::MonoInstant,
+        previous: &mut [pooled_server::PooledServer],
+        servers: &[pooled_server::PooledServer],
+    ) -> Vec<availability::Transition> {
+        let is_missing = |server: &&mut pooled_server::PooledServer| {
+            let process = server.process();
+            servers.binary_search_by(|found| found.process().cmp(&process)).is_err()
+        };
+        let mut transitions = Vec::new();
+        for server in previous.iter_mut().filter(is_missing) {
+            let (name, started) = server.process();
+            self.memory.record(now, name, started, server.availability());
+            transitions.extend(server.observe(now, availability::Observation::NotRegistered));
+        }
+        transitions
+    }
+
+    /// Applies a statement about the process that a lease is for, whether or not it is in the pool;
+    /// returns the change of its state.
+    pub fn observe(
+        &mut self,
+        now: units_time::MonoInstant,
+        lease: &Lease,
+        observation: availability::Observation,
+    ) -> Option<availability::Transition> {
+        if let Some(server) = self.server_mut(lease) {
+            return server.observe(now, observation);
+        }
+        let mut remembered = self.memory.get(&lease.server, lease.started);
+        let change = remembered.apply(now, observation);
+        self.memory.record(now, &lease.server, lease.started, &remembered);
+        let (server, started) = (lease.server.clone(), lease.started);
+        change.map(|change| availability::Transition { server, started, change })
+    }
+
+    /// Returns whether the server of a lease still accepts new requests.
+    pub fn accepts_requests(&self, now: units_time::MonoInstant, lease: &Lease) -> bool {
+        let server = self.position(lease).map(|at| &self.servers[at]);
+        server.is_some_and(|server| server.availability().state(now).accepts_requests())
+    }
+
+    /// Returns when the first server takes requests again, if all those that may run requests in
+    /// the failure domains that `allows` accepts are backing off.
+    pub fn backoff_end(
+        &self,
+        now: units_time::MonoInstant,
+        allows: &dyn Fn(&id::FailureDomainId) -> bool,
+    ) -> Option<units_time::MonoInstant> {
+        let backoff_end =
+            |server: &pooled_server::PooledServer| match server.availability().state(now) {
+                availability::State::BackingOff { until } => Some(until),
+                _ => None,
+            };
+        let servers = self.servers.iter().filter(|server| server.may_serve_in(allows));
+        let ends: Option<Vec<_>> = servers.map(backoff_end).collect();
+        ends?.into_iter().min()
     }
 
     /// Chooses a server for a request and counts the request there.
@@ -241,12 +312,6 @@
         }
     }
 
-    /// Removes a server that has left or whose address another server has taken over.
-    pub fn remove(&mut self, lease: &Lease) {
-        self.servers.retain(|server| !server.holds(lease));
-        self.orders.clear();
-    }
-
     /// Extends the cold time of a server, which reports that it stays cold for `remaining`.
     pub fn set_cold(
         &mut self,
@@ -260,11 +325,12 @@
     }
 
     fn server_mut(&mut self, lease: &Lease) -> Option<&mut pooled_server::PooledServer> {
-        let by_name = |server: &pooled_server::PooledServer| {
-            server.known.registration.server.cmp(&lease.server)
-        };
-        let at = self.servers.binary_search_by(by_name).ok()?;
-        Some(&mut self.servers[at]).filter(|server| server.holds(lease))
+        self.position(lease).map(|at| &mut self.servers[at])
+    }
+
+    fn position(&self, lease: &Lease) -> Option<usize> {
+        let process = (&lease.server, lease.started);
+        self.servers.binary_search_by(|server| server.process().cmp(&process)).ok()
     }
 
     /// Returns the number of this machine's requests in progress at all servers.
--- a/crates/waxwing-machine/src/pooled_server.rs
+++ b/crates/waxwing-machine/src/pooled_server.rs
@@ -2,12 +2,13 @@
 
 use std::time;
 
+use waxwing_units::id;
 use waxwing_units::time as units_time;
 
+use crate::availability;
 use crate::placement;
 use crate::server_health;
 use crate::server_order;
-use crate::server_registration;
 use crate::server_set;
 
 /// How long a server counts as cold after the evacuation of its failure domain ends: the
@@ -19,6 +20,7 @@
 pub(crate) struct PooledServer {
     pub(crate) known: server_set::KnownServer,
     pub(crate) health: server_health::ServerHealth,
+    availability: availability::Availability,
     is_evacuated: bool,
     is_owned: bool,
     slot_weight: placement::SlotWeight,
@@ -27,23 +29,19 @@
 }
 
 impl PooledServer {
+    /// Returns the server as the store and the configuration say; its state is that of `previous`,
+    /// or what `memory` holds of its responses.
     pub(crate) fn updated(
         now: units_time::MonoInstant,
         previous: Option<&Self>,
+        memory: &availability::Memory,
         known: &server_set::KnownServer,
         context: &placement::Context<'_>,
     ) -> Self {
         let is_evacuated =
             context.evacuated.binary_search(&known.registration.failure_domain).is_ok();
-        let mut server = previous.cloned().unwrap_or_else(|| Self {
-            known: known.clone(),
-            health: server_health::ServerHealth::default(),
-            is_evacuated,
-            is_owned: false,
-            slot_weight: placement::SlotWeight { small_bodies: 1, large_bodies: 1 },
-            assumed_cold_until: units_time::MonoInstant::default(),
-            next_cold_request_at: now,
-        });
+        let mut server =
+            previous.cloned().unwrap_or_else(|| Self::new(now, memory, known, is_evacuated));
         if server.is_evacuated && !is_evacuated {
             server.assumed_cold_until = now.after(COLD_AFTER_EVACUATION);
         }
@@ -56,23 +54,74 @@
         server
     }
 
+    fn new(
+        now: units_time::MonoInstant,
+        memory: &availability::Memory,
+        known: &server_set::KnownServer,
+        is_evacuated: bool,
+    ) -> Self {
+        let registration = &known.registration;
+        let availability = memory.get(&registration.server, registration.started);
+        let mut health = server_health::ServerHealth::default();
+        if let availability::State::BackingOff { until } = availability.state(now) {
+            health.eject_until(until);
+        }
+        Self {
+            known: known.clone(),
+            health,
+            availability,
+            is_evacuated,
+            is_owned: false,
+            slot_weight: placement::SlotWeight { small_bodies: 1, large_bodies: 1 },
+            assumed_cold_until: units_time::MonoInstant::default(),
+            next_cold_request_at: now,
+        }
+    }
+
+    /// Applies a statement about the server's process; returns the transition if its state is
+    /// another one now.
+    pub(crate) fn observe(
+        &mut self,
+        now: units_time::MonoInstant,
+        observation: availability::Observation,
+    ) -> Option<availability::Transition> {
+        if let availability::Observation::BackoffRequested { until } = observation
+            && now < until
+        {
+            self.health.eject_until(until);
+        }
+        let change = self.availability.apply(now, observation)?;
+        let registration = &self.known.registration;
+        let (server, started) = (registration.server.clone(), registration.started);
+        Some(availability::Transition { server, started, change })
+    }
+
+    pub(crate) const fn availability(&self) -> &availability::Availability {
+        &self.availability
+    }
+
     /// Returns whether both servers take the same places in the orders of all objects.
     pub(crate) fn has_order_of(&self, other: &Self) -> bool {
         let (a, b) = (&self.known.registration, &other.known.registration);
         a.server == b.server && a.slots == b.slots && self.slot_weight == other.slot_weight
     }
 
-    pub(crate) fn holds(&self, lease: &placement::Lease) -> bool {
-        let registration = &self.known.registration;
-        registration.server == lease.server && registration.started == lease.started
+    /// Returns the name and the incarnation of the server's process.
+    pub(crate) const fn process(&self) -> (&id::BackendServerId, id::Incarnation) {
+        (&self.known.registration.server, self.known.registration.started)
     }
 
     pub(crate) fn is_eligible(&self, criteria: &placement::Criteria<'_>) -> bool {
-        let registration = &self.known.registration;
-        registration.state == server_registration::State::Ready
+        !criteria.tried.contains(&self.known.registration.server)
+            && self.may_serve_in(criteria.allows)
+    }
+
+    /// Returns whether the server takes requests, now or after a backoff, in a failure domain that
+    /// `allows` accepts.
+    pub(crate) fn may_serve_in(&self, allows: &dyn Fn(&id::FailureDomainId) -> bool) -> bool {
+        !self.availability.is_excluded()
             && !self.is_evacuated
-            && !criteria.tried.contains(&registration.server)
-            && (criteria.allows)(&registration.failure_domain)
+            && allows(&self.known.registration.failure_domain)
     }
 
     /// Returns what the order of servers for an object depends on.
@@ -102,9 +151,7 @@
 
     /// Returns whether the server may receive any request now.
     pub(crate) fn is_usable(&self, now: units_time::MonoInstant) -> bool {
-        if self.health.is_ejected(now)
-            || (self.health.is_on_probation() && self.health.in_flight() > 0)
-        {
+        if !self.availability.state(now).accepts_requests() || !self.health.accepts_request(now) {
             return false;
         }
         !self.is_cold(now) || (self.is_owned && now >= self.next_cold_request_at)
--- a/crates/waxwing-machine/src/server_health.rs
+++ b/crates/waxwing-machine/src/server_health.rs
@@ -22,6 +22,13 @@
 /// The maximum number of doublings of the duration of an ejection.
 const EJECTION_DOUBLINGS_MAX: u32 = 3;
 
+/// The number of concurrent requests at a server that has just ended its probation; it doubles with
+/// each success.
+const RAMP_START: u32 = 2;
+
+/// The number of concurrent requests from which the ramp no longer limits them.
+const RAMP_END: u32 = 64;
+
 /// The outcome of an attempt at a server, as far as it affects the server's health.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptOutcome {
@@ -63,6 +70,8 @@
     failures_permille: u32,
     ejections: u32,
     ejected_until: Option<units_time::MonoInstant>,
+    /// The largest number of concurrent requests, until the ramp after a probation has ended.
+    ramp_max: Option<u32>,
 }
 
 impl ServerHealth {
@@ -78,13 +87,27 @@
         self.in_flight.saturating_add(report.map_or(0, |report| report.load_of_others))
     }
 
+    /// Returns whether the server may receive one more request now.
+    pub fn accepts_request(&self, now: units_time::MonoInstant) -> bool {
+        let concurrent_max = match self.is_on_probation() {
+            true => 1,
+            false => self.ramp_max.unwrap_or(u32::MAX),
+        };
+        !self.is_ejected(now) && self.in_flight < concurrent_max
+    }
+
+    /// Sends no requests until an instant; the server is on probation then.
+    pub fn eject_until(&mut self, until: units_time::MonoInstant) {
+        self.ejected_until = self.ejected_until.max(Some(until));
+    }
+
     /// Returns whether the server is ejected and receives no requests.
     pub fn is_ejected(&self, now: units_time::MonoInstant) -> bool {
         self.ejected_until.is_some_and(|until| now < until)
     }
 
     /// Returns whether the server has not recovered since its last ejection. After the ejection it
-    /// receives one request at a time, until one succeeds.
+    /// receives one request at a time, until one succeeds, and then a few more with each success.
     pub const fn is_on_probation(&self) -> bool {
         self.ejected_until.is_some()
     }
@@ -119,13 +142,14 @@
     fn record_result(&mut self, now: units_time::MonoInstant, failure_permille: u32) {
         let retained = self.failures_permille * (NEWEST_WEIGHT_DIVISOR - 1);
         self.failures_permille = (retained + failure_permille) / NEWEST_WEIGHT_DIVISOR;
-        if failure_permille == 0 && !self.is_ejected(now) {
-            self.ejected_until = None;
-            self.ejections = 0;
-        }
         if self.is_ejected(now) {
             return;
         }
+        if failure_permille == 0 {
+            self.advance_ramp();
+            self.ejected_until = None;
+            self.ejections = 0;
+        }
         let failed_on_probation = self.is_on_probation() && failure_permille > 0;
         if self.failures_permille > FAILURES_MAX_PERMILLE || failed_on_probation {
             let doublings = self.ejections.min(EJECTION_DOUBLINGS_MAX);
@@ -134,4 +158,12 @@
             self.ejected_until = Some(now.after(EJECTION_MIN * 2_u32.pow(doublings)));
         }
     }
+
+    /// Allows more concurrent requests after one has succeeded.
+    fn advance_ramp(&mut self) {
+        self.ramp_max = match self.is_on_probation() {
+            true => Some(RAMP_START),
+            false => self.ramp_max.map(|max| max * 2).filter(|max| *max < RAMP_END),
+        };
+    }
 }
--- a/crates/waxwing-machine/tests/machine/placement.rs
+++ b/crates/waxwing-machine/tests/machine/placement.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use waxwing_machine::availability;
 use waxwing_machine::placement;
 use waxwing_machine::server_health;
 use waxwing_machine::server_registration;
@@ -319,3 +320,58 @@
     assert_eq!(acquire(&mut pool, 2_900, "a"), None, "the server is cold, and owned by another");
     assert!(acquire(&mut pool, 3_100, "a").is_some());
 }
+
+#[test]
+fn draining_that_a_response_announced_ends_only_with_another_incarnation() {
+    let all = servers(1);
+    let mut restarted = servers(1);
+    restarted[0].registration.started = id::Incarnation(2);
+    let mut pool = pool_of(&all, &[], false);
+    let lease = acquire(&mut pool, 0, "x").expect("room");
+    pool.observe(at_ms(0), &lease, availability::Observation::DrainingAnnounced);
+    // The registration still says ready, lapses, comes back from an old copy, and is then renewed.
+    for (listed, is_usable) in
+        [(&all[..], false), (&[], false), (&all, false), (&restarted, true), (&all, false)]
+    {
+        update(&mut pool, at_ms(100), listed, &[], false);
+        assert_eq!(acquire(&mut pool, 100, "x").is_some(), is_usable, "{listed:?}");
+    }
+}
+
+#[test]
+fn a_response_of_a_server_that_is_not_listed_counts_once_it_is_listed_again() {
+    let all = servers(1);
+    let mut pool = pool_of(&all, &[], false);
+    let lease = acquire(&mut pool, 0, "x").expect("room");
+    update(&mut pool, at_ms(10), &[], &[], false);
+    pool.observe(at_ms(20), &lease, availability::Observation::AddressReused);
+    update(&mut pool, at_ms(30), &all, &[], false);
+    assert_eq!(acquire(&mut pool, 30, "x"), None);
+}
+
+#[test]
+fn after_a_backoff_requests_return_one_by_one_at_first() {
+    let all = servers(1);
+    let mut pool = pool_of(&all, &[], false);
+    let lease = acquire(&mut pool, 0, "x").expect("room");
+    let until = at_ms(2_000);
+    pool.observe(at_ms(0), &lease, availability::Observation::BackoffRequested { until });
+    assert!(!pool.accepts_requests(at_ms(0), &lease), "not for a request about to be sent");
+    pool.release(at_ms(0), &lease, server_health::AttemptOutcome::Shed, None);
+    // The backoff outlives a time in which the server is not listed.
+    update(&mut pool, at_ms(100), &[], &[], false);
+    update(&mut pool, at_ms(200), &all, &[], false);
+    assert_eq!(acquire(&mut pool, 1_999, "x"), None);
+    assert_eq!(pool.backoff_end(at_ms(1_999), &|_| true), Some(until));
+    assert_eq!(pool.backoff_end(at_ms(2_000), &|_| true), None);
+    for concurrent in [1, 2, 4] {
+        let leases: Vec<_> = (0..10).map_while(|_| acquire(&mut pool, 2_000, "x")).collect();
+        assert_eq!(leases.len(), concurrent);
+        let responded = server_health::AttemptOutcome::Responded;
+        pool.release(at_ms(2_000), &leases[0], responded, None);
+        for lease in &leases[1..] {
+            let unknown = server_health::AttemptOutcome::NotAttributable;
+            pool.release(at_ms(2_000), lease, unknown, None);
+        }
+    }
+}
--- a/crates/waxwing-request/src/attempt.rs
+++ b/crates/waxwing-request/src/attempt.rs
@@ -46,10 +46,12 @@
     DeclaredNotRun,
     /// The response can't be parsed or used.
     MalformedResponse,
+    /// The backend server began to drain or back off before the request was sent.
+    ServerUnavailable,
 }
 
 /// All faults, for tables over every fault.
-pub const FAULTS: [Fault; 8] = [
+pub const FAULTS: [Fault; 9] = [
     Fault::NoSlot,
     Fault::ConnectFailed,
     Fault::Disconnected,
@@ -58,6 +60,7 @@
     Fault::UploadInterrupted,
     Fault::DeclaredNotRun,
     Fault::MalformedResponse,
+    Fault::ServerUnavailable,
 ];
 
 /// Whether a request may be run more than once.
@@ -191,6 +194,7 @@
             Self::UploadInterrupted => "upload broken",
             Self::DeclaredNotRun => "declared not run",
             Self::MalformedResponse => "answer malformed",
+            Self::ServerUnavailable => "server unavailable",
         })
     }
 }
--- a/crates/waxwing-vm/src/connection_pool.rs
+++ b/crates/waxwing-vm/src/connection_pool.rs
@@ -20,13 +20,14 @@
 use ntex::connect;
 use ntex::http;
 use ntex::service;
-use waxwing_machine::placement;
 use waxwing_process::clock;
 use waxwing_process::timer;
 use waxwing_request::attempt;
 use waxwing_units::id;
 use waxwing_units::time as units_time;
 
+use crate::leased_server;
+
 /// How long opening a connection may take.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(800);
 
@@ -102,9 +103,10 @@
     /// Returns an error if the HTTP client can't be created.
     pub async fn take(
         &self,
-        lease: &placement::Lease,
+        server: &rc::Rc<leased_server::LeasedServer>,
         repeatability: attempt::Repeatability,
     ) -> Result<Connection, client_error::ClientError> {
+        let lease = server.lease();
         let endpoint = Endpoint {
             address: lease.address,
             server: lease.server.clone(),
@@ -115,7 +117,7 @@
             return Ok(reused);
         }
         let state: StateCell = rc::Rc::new(cell::Cell::new(attempt::State::Connecting));
-        let client = single_connection_client(state.clone()).await?;
+        let client = single_connection_client(state.clone(), server.clone()).await?;
         Ok(Connection { endpoint, client, state, idle_before_use: None })
     }
 
@@ -165,9 +167,11 @@
     }
 }
 
-/// Creates a client that records in `state` how far its connection has got.
+/// Creates a client that records in `state` how far its connection has got. Opening a connection
+/// fails if `server` accepts no new requests by then.
 async fn single_connection_client(
     state: StateCell,
+    server: rc::Rc<leased_server::LeasedServer>,
 ) -> Result<client::Client, client_error::ClientError> {
     let connect = connect::Connector::<http::Uri>::new();
     let state_tracking = service::apply_fn_factory(connect, async move |to, connector| {
@@ -175,6 +179,9 @@
         let connecting = connector.call(to);
         let connected = timer::timeout(CONNECT_TIMEOUT, connecting).await;
         let io = connected.map_err(|timer::Elapsed| timed_out())??;
+        if !server.accepts_requests() {
+            return Err(connect::ConnectError::Unresolved);
+        }
         state.set(attempt::State::Sending);
         Ok::<_, connect::ConnectError>(io)
     });
--- a/crates/waxwing-vm/src/counters.rs
+++ b/crates/waxwing-vm/src/counters.rs
@@ -15,6 +15,8 @@
     attempts: otel_metrics::Counter<u64>,
     charges: otel_metrics::Counter<u64>,
     store_calls: otel_metrics::Counter<u64>,
+    server_transitions: otel_metrics::Counter<u64>,
+    odd_retry_afters: otel_metrics::Counter<u64>,
     duration_ms: otel_metrics::Histogram<f64>,
 }
 
@@ -30,6 +32,14 @@
             attempts: counter("waxwing_attempts", "Attempts at backend servers by how they ended"),
             charges: counter("waxwing_charges", "Charges of organisations by outcome"),
             store_calls: counter("waxwing_store_calls", "Calls to the store by kind and outcome"),
+            server_transitions: counter(
+                "waxwing_server_transitions",
+                "Changes of backend servers' states by new state and source",
+            ),
+            odd_retry_afters: counter(
+                "waxwing_odd_retry_afters",
+                "Retry-After values of backend servers that were cut or ignored",
+            ),
             duration_ms: meter
                 .f64_histogram("waxwing_request_duration_ms")
                 .with_description("Time from the arrival of a request to its end, in milliseconds")
@@ -55,6 +65,17 @@
         self.charges.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a change of a backend server's state.
+    pub fn count_server_transition(&self, to: &'static str, source: String) {
+        let labels = [KeyValue::new("to", to), KeyValue::new("source", source)];
+        self.server_transitions.add(1, &labels);
+    }
+
+    /// Counts a server's `Retry-After` that was cut or ignored.
+    pub fn count_odd_retry_after(&self, oddity: &'static str) {
+        self.odd_retry_afters.add(1, &[KeyValue::new("oddity", oddity)]);
+    }
+
     /// Counts a call to the store; `kind` says what was read.
     pub fn count_store_call(&self, kind: &'static str, is_answered: bool) {
         let outcome = if is_answered { "answered" } else { "failed" };
--- a/crates/waxwing-vm/src/exchange.rs
+++ b/crates/waxwing-vm/src/exchange.rs
@@ -3,6 +3,7 @@
 //! A response is read to its end before any of it is forwarded. So a truncated response never looks
 //! like a shorter complete one, and an idempotent request can be retried instead.
 
+use std::rc;
 use std::time;
 
 use futures_util::StreamExt;
@@ -21,6 +22,7 @@
 use crate::body_memory;
 use crate::connection_pool;
 use crate::http_adapter;
+use crate::leased_server;
 
 /// The largest response body that is buffered, in bytes.
 const RESPONSE_MAX_BYTES: usize = 16 * 1024 * 1024;
@@ -82,6 +84,7 @@
             | attempt::Fault::MalformedResponse => server_health::AttemptOutcome::Failed,
             attempt::Fault::NoSlot
             | attempt::Fault::CallerDisconnected
+            | attempt::Fault::ServerUnavailable
             | attempt::Fault::UploadInterrupted => server_health::AttemptOutcome::NotAttributable,
         }
     }
@@ -100,16 +103,18 @@
 pub async fn exchange(
     pool: &connection_pool::ConnectionPool,
     adapter: &dyn http_adapter::HttpAdapter,
-    lease: &placement::Lease,
+    server: &rc::Rc<leased_server::LeasedServer>,
     request: Request,
     timeout: time::Duration,
 ) -> Result<Response, Failure> {
-    let Ok(connection) = pool.take(lease, request.repeatability).await else {
-        log::error!("can't create an HTTP client for {}", lease.server);
+    let Ok(connection) = pool.take(server, request.repeatability).await else {
+        log::error!("can't create an HTTP client for {}", server.lease().server);
         return Err(failure(attempt::State::Connecting, attempt::Fault::ConnectFailed));
     };
-    let request_id = request.request_id.clone();
-    let exchange_future = send_and_read(&connection, adapter, &request_id, lease, request);
+    if !server.accepts_requests() {
+        return Err(failure(attempt::State::Connecting, attempt::Fault::ServerUnavailable));
+    }
+    let exchange_future = send_and_read(&connection, adapter, server, request);
     let result = timer::timeout(timeout, exchange_future).await;
     let result = result
         .unwrap_or_else(|_| Err(failure(connection.state(), attempt::Fault::DeadlineExceeded)));
@@ -135,17 +140,23 @@
 async fn send_and_read(
     connection: &connection_pool::Connection,
     adapter: &dyn http_adapter::HttpAdapter,
-    request_id: &str,
-    lease: &placement::Lease,
+    server: &leased_server::LeasedServer,
     request: Request,
 ) -> Result<Response, Failure> {
+    let lease = server.lease();
+    let request_id = request.request_id.clone();
     let (response, mut memory) = send(connection, lease, request).await.map_err(|error| {
         log::debug!("no response from {} to {request_id}: {error}", lease.server);
-        failure(connection.state(), fault_of(&error, connection.state()))
+        let state = connection.state();
+        match state == attempt::State::Connecting && !server.accepts_requests() {
+            true => failure(state, attempt::Fault::ServerUnavailable),
+            false => failure(state, fault_of(&error, state)),
+        }
     })?;
     connection.set_state(attempt::State::Sent);
     let status = response.status();
-    let mut reading = adapter.parse_response(request_id, status, response.headers());
+    let mut reading = adapter.parse_response(&request_id, status, response.headers());
+    server.apply_reading(&reading);
     let malformed = Failure {
         state: attempt::State::Sent,
         fault: attempt::Fault::MalformedResponse,
--- a/crates/waxwing-vm/src/forward.rs
+++ b/crates/waxwing-vm/src/forward.rs
@@ -2,6 +2,7 @@
 
 use std::rc;
 use std::sync::atomic;
+use std::time;
 
 use futures_util::stream;
 use ntex::http;
@@ -12,18 +13,23 @@
 use waxwing_request::attempt;
 use waxwing_request::outcome;
 use waxwing_units::id;
+use waxwing_units::rendezvous;
 
 use crate::access_log;
 use crate::connection_pool;
 use crate::exchange;
 use crate::http_adapter;
+use crate::leased_server;
 use crate::refusal;
 use crate::request_admission;
 use crate::service_pools;
 use crate::vm;
 
 /// The least time left for which an attempt is sent; a response can't arrive within less.
-const SEND_TIME_LEFT_MIN: std::time::Duration = std::time::Duration::from_millis(20);
+const SEND_TIME_LEFT_MIN: time::Duration = time::Duration::from_millis(20);
+
+/// The time after a backoff over which callers are asked to return.
+const RETURN_SPREAD_MAX: time::Duration = time::Duration::from_millis(500);
 
 /// The connection pool of the worker thread that handles a request.
 pub type LocalPool = rc::Rc<connection_pool::ConnectionPool>;
@@ -246,7 +252,7 @@
     let state = attempt::State::Waiting;
     let repeatability = request.route.repeatability;
     let action = prior.history.decide(state, fault, repeatability, attempt::Body::Buffered);
-    Err(refusal::Refusal::Failed { state, fault, outcome: outcome_of(action) })
+    Err(failed(vm, request, state, fault, outcome_of(action)))
 }
 
 const fn outcome_of(action: attempt::Action) -> outcome::Outcome {
@@ -276,20 +282,12 @@
         repeatability: request.route.repeatability,
         response_memory: vm.reserve_body_memory(),
     };
-    let result =
-        exchange::exchange(pool, vm.adapter.as_ref(), &lease, upstream_request, time_left).await;
-    let reading = match &result {
-        Ok(response) => {
-            slot.set_outcome(attempt_outcome_of(response), response.reading.load);
-            Some(response.reading)
-        }
-        Err(failure) => {
-            slot.set_outcome(failure.attempt_outcome(), failure.load());
-            failure.reading
-        }
-    };
-    if let Some(reading) = reading {
-        apply_reading(vm, request, &lease, reading);
+    let server = rc::Rc::new(leased_server::LeasedServer::new(vm, &request.service, &lease));
+    let adapter = vm.adapter.as_ref();
+    let result = exchange::exchange(pool, adapter, &server, upstream_request, time_left).await;
+    match &result {
+        Ok(response) => slot.set_outcome(attempt_outcome_of(response), response.reading.load),
+        Err(failure) => slot.set_outcome(failure.attempt_outcome(), failure.load()),
     }
     result
 }
@@ -305,21 +303,6 @@
     }
 }
 
-/// Updates the server pool with what a response says about its server.
-fn apply_reading(
-    vm: &vm::Vm,
-    request: &request_admission::AdmittedRequest,
-    lease: &placement::Lease,
-    reading: http_adapter::Reading,
-) {
-    if reading.verdict == http_adapter::Verdict::OtherServer {
-        vm.pools.remove(&request.service, lease);
-    }
-    if let Some(cold_left) = reading.cold_left {
-        vm.pools.set_cold(&request.service, lease, cold_left);
-    }
-}
-
 /// Returns `Ok` if the request is to be retried, or else the error for the caller.
 fn retry_or_fail(
     vm: &vm::Shared,
@@ -331,8 +314,41 @@
     let repeatability = request.route.repeatability;
     let action = prior.history.decide(state, fault, repeatability, attempt::Body::Buffered);
     let is_retry = matches!(action, attempt::Action::Retry { .. });
-    match is_retry && may_retry(vm, request, prior) {
+    // Nothing was sent, so another attempt takes nothing from the retry budget.
+    let was_withheld = fault == attempt::Fault::ServerUnavailable;
+    match is_retry && (was_withheld || may_retry(vm, request, prior)) {
         true => Ok(()),
-        false => Err(refusal::Refusal::Failed { state, fault, outcome: outcome_of(action) }),
+        false => Err(failed(vm, request, state, fault, outcome_of(action))),
+    }
+}
+
+/// Returns the error for a request that failed; if it did not run and all servers are backing off,
+/// the error says for how long.
+fn failed(
+    vm: &vm::Vm,
+    request: &request_admission::AdmittedRequest,
+    state: attempt::State,
+    fault: attempt::Fault,
+    outcome: outcome::Outcome,
+) -> refusal::Refusal {
+    let settings = vm.settings();
+    let allows = |domain: &id::FailureDomainId| request.allows_region(settings.region_of(domain));
+    let backoff_left = match outcome {
+        outcome::Outcome::NotRun => vm.pools.backoff_left(&request.service, &allows),
+        outcome::Outcome::Answered | outcome::Outcome::Unknown => None,
+    };
+    match backoff_left {
+        Some(backoff_left) => {
+            let retry_after = backoff_left + return_spread(&request.incoming.request_id);
+            refusal::Refusal::ServersBackingOff { retry_after }
+        }
+        None => refusal::Refusal::Failed { state, fault, outcome },
     }
 }
+
+/// Returns how much later than the end of a backoff a caller is asked to return, so that not all
+/// callers return at once.
+fn return_spread(request_id: &str) -> time::Duration {
+    let spread_ms = RETURN_SPREAD_MAX.as_millis() as u64;
+    time::Duration::from_millis(rendezvous::hash(request_id) % spread_ms)
+}
--- a/crates/waxwing-vm/src/http_adapter.rs
+++ b/crates/waxwing-vm/src/http_adapter.rs
@@ -10,6 +10,7 @@
 use ntex::http::header;
 use ntex::web;
 use waxwing_machine::placement;
+use waxwing_machine::retry_after;
 use waxwing_machine::server_health;
 use waxwing_units::id;
 
@@ -75,6 +76,11 @@
     /// How long the server expects to stay cold, that is, able to handle only a few requests per
     /// second, if it says so.
     pub cold_left: Option<time::Duration>,
+    /// Whether the server announces that it drains.
+    pub is_draining: bool,
+    /// How long a server that refused the request with status 503 asks for no further ones, if it
+    /// says so.
+    pub retry_after: Option<retry_after::Result<retry_after::RetryAfter>>,
     /// How long the connection can be reused; `None` if the server closes it.
     pub keeps: Option<time::Duration>,
 }
--- a/crates/waxwing-vm/src/lib.rs
+++ b/crates/waxwing-vm/src/lib.rs
@@ -17,6 +17,8 @@
 //! * [`body_memory`]: bounds the memory for the bodies of requests and responses.
 //! * [`exchange`]: sends one request to a backend server and reads the response.
 //! * [`connection_pool`]: idle connections to backend servers, for reuse.
+//! * [`leased_server`]: the server of an attempt, and what its responses say about it.
+//! * [`server_events`]: logs and counts the changes of servers' states.
 //! * [`service_pools`]: the backend servers of each service, and the retry budgets.
 //! * [`account`]: an organisation's token balance on this VM, and its loans from other VMs.
 //! * [`reachable_peers`]: the entry VMs that can be asked for a loan of tokens.
@@ -43,6 +45,7 @@
 pub mod exchange;
 pub mod forward;
 pub mod http_adapter;
+pub mod leased_server;
 pub mod peers;
 pub mod reachable_peers;
 pub mod reconcile;
@@ -50,6 +53,7 @@
 pub mod registration;
 pub mod request_admission;
 pub mod run;
+pub mod server_events;
 pub mod service_pools;
 pub mod settings;
 pub mod store_poll;
--- a/crates/waxwing-vm/src/reconcile.rs
+++ b/crates/waxwing-vm/src/reconcile.rs
@@ -17,6 +17,7 @@
 use waxwing_units::rendezvous;
 use waxwing_zone::locality;
 
+use crate::server_events;
 use crate::vm;
 
 /// How often contract shares and the owners of servers are recomputed.
@@ -85,7 +86,8 @@
             cold_rate_per_second: service.cold_rate_per_second,
             options,
         };
-        vm.pools.update(&service.service, &known, &context);
+        let transitions = vm.pools.update(&service.service, &known, &context);
+        transitions.iter().for_each(|transition| server_events::record(vm, transition));
     }
 }
 
--- a/crates/waxwing-vm/src/refusal.rs
+++ b/crates/waxwing-vm/src/refusal.rs
@@ -54,6 +54,12 @@
     /// No backend server of the service is eligible for the request.
     #[error("no backend server may run the request")]
     NoServer,
+    /// All backend servers that may run the request have asked for a backoff.
+    #[error("all backend servers are backing off")]
+    ServersBackingOff {
+        /// The time until the first of them takes requests again, with a spread.
+        retry_after: time::Duration,
+    },
     /// No attempt produced a response that could be forwarded.
     #[error("{fault} while {state}")]
     Failed {
@@ -106,7 +112,8 @@
             Self::NotCharged(
                 account::ChargeError::Exhausted { retry_after }
                 | account::ChargeError::NoShare { retry_after },
-            ) => Some(*retry_after),
+            )
+            | Self::ServersBackingOff { retry_after } => Some(*retry_after),
             Self::NoServer | Self::Failed { .. } => Some(LATER_RETRY),
             _ => None,
         }
--- a/crates/waxwing-vm/src/service_pools.rs
+++ b/crates/waxwing-vm/src/service_pools.rs
@@ -1,8 +1,10 @@
 //! The backend servers and the retry budget of each service, and the traffic split of each route.
 
 use std::sync;
+use std::time;
 
 use parking_lot::Mutex;
+use waxwing_machine::availability;
 use waxwing_machine::placement;
 use waxwing_machine::server_health;
 use waxwing_machine::server_set;
@@ -66,7 +68,7 @@
 pub enum Acquired {
     /// A slot at a server.
     Slot(Slot),
-    /// No eligible server takes the request now: all are full, ejected or cold.
+    /// No eligible server takes the request now: all are full, backing off, ejected or cold.
     Full,
     /// No server is eligible for the request.
     NoneEligible,
@@ -113,13 +115,14 @@
         Some(operation(&mut shard[at]))
     }
 
-    /// Replaces the servers of a service with those in `known`, sorted by name.
+    /// Replaces the servers of a service with those in `known`, sorted by name, and returns the
+    /// changes of their states.
     pub fn update(
         &self,
         service: &id::ServiceId,
         known: &[&server_set::KnownServer],
         context: &placement::Context<'_>,
-    ) {
+    ) -> Vec<availability::Transition> {
         let now = clock::now();
         let mut shard = self.shards[self.shard(service.as_str())].lock();
         let at = match shard.binary_search_by(|pool| pool.service.cmp(service)) {
@@ -129,7 +132,7 @@
                 at
             }
         };
-        shard[at].pool.update(now, known, context);
+        shard[at].pool.update(now, known, context)
     }
 
     /// Returns the service that the weighted round robin of a route's traffic split selects next.
@@ -170,9 +173,33 @@
         }
     }
 
-    /// Removes a server that is gone or whose address another server has taken over.
-    pub fn remove(&self, service: &id::ServiceId, lease: &placement::Lease) {
-        self.with_pool(service, |pool| pool.pool.remove(lease));
+    /// Applies a statement about the server of a lease; returns the change of its state.
+    pub fn observe(
+        &self,
+        service: &id::ServiceId,
+        lease: &placement::Lease,
+        observation: availability::Observation,
+    ) -> Option<availability::Transition> {
+        let now = clock::now();
+        self.with_pool(service, |pool| pool.pool.observe(now, lease, observation)).flatten()
+    }
+
+    /// Returns whether the server of a lease still accepts new requests.
+    pub fn accepts_requests(&self, service: &id::ServiceId, lease: &placement::Lease) -> bool {
+        let now = clock::now();
+        self.with_pool(service, |pool| pool.pool.accepts_requests(now, lease)).unwrap_or(false)
+    }
+
+    /// Returns how long all servers of a service that may run requests where `allows` accepts it
+    /// are backing off.
+    pub fn backoff_left(
+        &self,
+        service: &id::ServiceId,
+        allows: &dyn Fn(&id::FailureDomainId) -> bool,
+    ) -> Option<time::Duration> {
+        let now = clock::now();
+        let end = self.with_pool(service, |pool| pool.pool.backoff_end(now, allows)).flatten();
+        end.map(|end| end.since(now))
     }
 
     /// Records how long a server expects to stay cold.
@@ -180,7 +207,7 @@
         &self,
         service: &id::ServiceId,
         lease: &placement::Lease,
-        cold_left: std::time::Duration,
+        cold_left: time::Duration,
     ) {
         let now = clock::now();
         self.with_pool(service, |pool| pool.pool.set_cold(now, lease, cold_left));
