test(machine): the ramp after a backoff is checked for a listed server too

With the probation taken out of `PooledServer::observe` alone the earlier form passed, since the server was always built anew from the memory.

--- a/crates/waxwing-machine/tests/machine/placement.rs
+++ b/crates/waxwing-machine/tests/machine/placement.rs
@@ -351,27 +351,31 @@
 
 #[test]
 fn after_a_backoff_requests_return_one_by_one_at_first() {
-    let all = servers(1);
-    let mut pool = pool_of(&all, &[], false);
-    let lease = acquire(&mut pool, 0, "x").expect("room");
-    let until = at_ms(2_000);
-    pool.observe(at_ms(0), &lease, availability::Observation::BackoffRequested { until });
-    assert!(!pool.accepts_requests(at_ms(0), &lease), "not for a request about to be sent");
-    pool.release(at_ms(0), &lease, server_health::AttemptOutcome::Shed, None);
     // The backoff outlives a time in which the server is not listed.
-    update(&mut pool, at_ms(100), &[], &[], false);
-    update(&mut pool, at_ms(200), &all, &[], false);
-    assert_eq!(acquire(&mut pool, 1_999, "x"), None);
-    assert_eq!(pool.backoff_end(at_ms(1_999), &|_| true), Some(until));
-    assert_eq!(pool.backoff_end(at_ms(2_000), &|_| true), None);
-    for concurrent in [1, 2, 4] {
-        let leases: Vec<_> = (0..10).map_while(|_| acquire(&mut pool, 2_000, "x")).collect();
-        assert_eq!(leases.len(), concurrent);
-        let responded = server_health::AttemptOutcome::Responded;
-        pool.release(at_ms(2_000), &leases[0], responded, None);
-        for lease in &leases[1..] {
-            let unknown = server_health::AttemptOutcome::NotAttributable;
-            pool.release(at_ms(2_000), lease, unknown, None);
+    for is_unlisted_meanwhile in [false, true] {
+        let all = servers(1);
+        let mut pool = pool_of(&all, &[], false);
+        let lease = acquire(&mut pool, 0, "x").expect("room");
+        let until = at_ms(2_000);
+        pool.observe(at_ms(0), &lease, availability::Observation::BackoffRequested { until });
+        assert!(!pool.accepts_requests(at_ms(0), &lease), "not for a request about to be sent");
+        pool.release(at_ms(0), &lease, server_health::AttemptOutcome::Shed, None);
+        if is_unlisted_meanwhile {
+            update(&mut pool, at_ms(100), &[], &[], false);
+        }
+        update(&mut pool, at_ms(200), &all, &[], false);
+        assert_eq!(acquire(&mut pool, 1_999, "x"), None);
+        assert_eq!(pool.backoff_end(at_ms(1_999), &|_| true), Some(until));
+        assert_eq!(pool.backoff_end(at_ms(2_000), &|_| true), None);
+        for concurrent in [1, 2, 4] {
+            let leases: Vec<_> = (0..10).map_while(|_| acquire(&mut pool, 2_000, "x")).collect();
+            assert_eq!(leases.len(), concurrent);
+            let responded = server_health::AttemptOutcome::Responded;
+            pool.release(at_ms(2_000), &leases[0], responded, None);
+            for lease in &leases[1..] {
+                let unknown = server_health::AttemptOutcome::NotAttributable;
+                pool.release(at_ms(2_000), lease, unknown, None);
+            }
         }
     }
 }
