perf(machine): an unchanged list of servers is compared once

Looking up each process of the previous list cost 475 us for a list of 1,077 servers where it had been 300 us.

--- a/crates/waxwing-machine/src/placement.rs
+++ b/crates/waxwing-machine/src/placement.rs
@@ -182,6 +182,12 @@
         previous: &mut [pooled_server::PooledServer],
         servers: &[pooled_server::PooledServer],
     ) -> Vec<availability::Transition> {
+        let is_same = |(a, b): (&pooled_server::PooledServer, &pooled_server::PooledServer)| {
+            a.process() == b.process()
+        };
+        if previous.len() == servers.len() && previous.iter().zip(servers).all(is_same) {
+            return Vec::new();
+        }
         let is_missing = |server: &&mut pooled_server::PooledServer| {
             let process = server.process();
             servers.binary_search_by(|found| found.process().cmp(&process)).is_err()
