refactor(vm): a slot holds its leased server

Service, lease and shared state stood in the slot and again in what an attempt asks; one lookup by process replaces the search by name and the comparison of incarnations.

--- a/crates/waxwing-machine/src/placement.rs
+++ b/crates/waxwing-machine/src/placement.rs
@@ -151,12 +151,9 @@
         let mut servers: Vec<_> = known
             .iter()
             .map(|known| {
-                let found = previous.binary_search_by(|p| {
-                    p.known.registration.server.cmp(&known.registration.server)
-                });
-                let same = found.ok().map(|at| &previous[at]).filter(|server| {
-                    server.known.registration.started == known.registration.started
-                });
+                let process = (&known.registration.server, known.registration.started);
+                let found = previous.binary_search_by(|server| server.process().cmp(&process));
+                let same = found.ok().map(|at| &previous[at]);
                 pooled_server::PooledServer::updated(now, same, &self.memory, known, context)
             })
             .collect();
--- a/crates/waxwing-machine/tests/machine/availability.rs
+++ b/crates/waxwing-machine/tests/machine/availability.rs
@@ -3,9 +3,9 @@
 use std::mem;
 use std::time;
 
-use waxwing_machine::availability::{Availability, Memory, Observation, Source, State};
+use waxwing_machine::availability;
 use waxwing_machine::retry_after;
-use waxwing_machine::server_registration::State::{Draining, Ready};
+use waxwing_machine::server_registration;
 use waxwing_units::id;
 use waxwing_units::time as units_time;
 
@@ -13,43 +13,59 @@
     units_time::MonoInstant(seconds * 1_000_000_000)
 }
 
-const fn backoff(until_s: u64) -> Observation {
-    Observation::BackoffRequested { until: at_s(until_s) }
+const READY: availability::Observation =
+    availability::Observation::Registered(server_registration::State::Ready);
+const DRAINING: availability::Observation =
+    availability::Observation::Registered(server_registration::State::Draining);
+const UNLISTED: availability::Observation = availability::Observation::NotRegistered;
+const ANNOUNCED: availability::Observation = availability::Observation::DrainingAnnounced;
+const REUSED: availability::Observation = availability::Observation::AddressReused;
+
+const fn backoff(until_s: u64) -> availability::Observation {
+    availability::Observation::BackoffRequested { until: at_s(until_s) }
 }
 
-const DRAINING_BY_STORE: State = State::Draining { source: Source::Registration };
-const DRAINING_BY_RESPONSE: State = State::Draining { source: Source::Response };
-const GONE_BY_STORE: State = State::Gone { source: Source::Registration };
-const GONE_BY_RESPONSE: State = State::Gone { source: Source::Response };
+const SERVING: availability::State = availability::State::Serving;
+const DRAINING_BY_STORE: availability::State =
+    availability::State::Draining { source: availability::Source::Registration };
+const DRAINING_BY_RESPONSE: availability::State =
+    availability::State::Draining { source: availability::Source::Response };
+const GONE_BY_STORE: availability::State =
+    availability::State::Gone { source: availability::Source::Registration };
+const GONE_BY_RESPONSE: availability::State =
+    availability::State::Gone { source: availability::Source::Response };
+
+const fn backing_off(until_s: u64) -> availability::State {
+    availability::State::BackingOff { until: at_s(until_s) }
+}
 
 /// Statements, made one second after another from second 0 on, and the state at second 10.
-#[rustfmt::skip]
-const ROWS: [(&[Observation], State); 13] = [
-    (&[], State::Serving),
-    (&[Observation::Registered(Draining)], DRAINING_BY_STORE),
-    (&[Observation::Registered(Draining), Observation::Registered(Ready)], State::Serving),
-    (&[Observation::NotRegistered], GONE_BY_STORE),
-    (&[Observation::NotRegistered, Observation::Registered(Ready)], State::Serving),
-    (&[Observation::DrainingAnnounced, Observation::Registered(Ready)], DRAINING_BY_RESPONSE),
-    (&[Observation::DrainingAnnounced, backoff(20)], DRAINING_BY_RESPONSE),
-    (&[Observation::DrainingAnnounced, Observation::NotRegistered], GONE_BY_STORE),
-    (&[Observation::AddressReused, Observation::Registered(Ready), Observation::DrainingAnnounced], GONE_BY_RESPONSE),
-    (&[backoff(20), Observation::Registered(Ready)], State::BackingOff { until: at_s(20) }),
-    (&[backoff(20), backoff(12)], State::BackingOff { until: at_s(20) }),
-    (&[backoff(9), backoff(12)], State::BackingOff { until: at_s(12) }),
-    (&[backoff(10)], State::Serving),
+const ROWS: [(&[availability::Observation], availability::State); 13] = [
+    (&[], SERVING),
+    (&[DRAINING], DRAINING_BY_STORE),
+    (&[DRAINING, READY], SERVING),
+    (&[UNLISTED], GONE_BY_STORE),
+    (&[UNLISTED, READY], SERVING),
+    (&[ANNOUNCED, READY], DRAINING_BY_RESPONSE),
+    (&[ANNOUNCED, backoff(20)], DRAINING_BY_RESPONSE),
+    (&[ANNOUNCED, UNLISTED], GONE_BY_STORE),
+    (&[REUSED, READY, ANNOUNCED], GONE_BY_RESPONSE),
+    (&[backoff(20), DRAINING, READY], backing_off(20)),
+    (&[backoff(20), backoff(12)], backing_off(20)),
+    (&[backoff(9), backoff(12)], backing_off(12)),
+    (&[backoff(10)], SERVING),
 ];
 
 #[test]
 fn states_follow_from_registrations_and_responses() {
     for (observations, expected) in ROWS {
-        let mut server = Availability::default();
+        let mut server = availability::Availability::default();
         for (second, observation) in (0..).zip(observations) {
             let before = server.state(at_s(second));
             let change = server.apply(at_s(second), *observation);
             let after = server.state(at_s(second));
             let is_reported = mem::discriminant(&before) != mem::discriminant(&after)
-                || (before != after && !matches!(after, State::BackingOff { .. }));
+                || (before != after && !matches!(after, availability::State::BackingOff { .. }));
             let reported = change.map(|change| (change.from, change.to));
             assert_eq!(reported, is_reported.then_some((before, after)), "{observations:?}");
             assert!(change.is_none_or(|change| change.source == observation.source()));
@@ -61,18 +77,18 @@
 #[test]
 fn the_memory_holds_what_responses_said_for_one_incarnation_and_is_bounded() {
     let name = |n: u64| -> id::BackendServerId { format!("s-{n}").parse().expect("a valid name") };
-    let mut draining = Availability::default();
-    draining.apply(at_s(0), Observation::DrainingAnnounced);
-    draining.apply(at_s(0), Observation::NotRegistered);
-    let mut memory = Memory::default();
+    let mut draining = availability::Availability::default();
+    draining.apply(at_s(0), ANNOUNCED);
+    draining.apply(at_s(0), UNLISTED);
+    let mut memory = availability::Memory::default();
     for n in 0..2_000 {
         memory.record(at_s(n), &name(n), id::Incarnation(1), &draining);
     }
     let state = |n, incarnation| memory.get(&name(n), id::Incarnation(incarnation)).state(at_s(0));
     assert_eq!(state(1_999, 1), DRAINING_BY_RESPONSE);
-    assert_eq!(state(1_999, 2), State::Serving);
-    assert_eq!((0..2_000).filter(|n| state(*n, 1) != State::Serving).count(), 1_024);
-    assert_eq!(state(975, 1), State::Serving, "the oldest are forgotten first");
+    assert_eq!(state(1_999, 2), SERVING);
+    assert_eq!((0..2_000).filter(|n| state(*n, 1) != SERVING).count(), 1_024);
+    assert_eq!(state(975, 1), SERVING, "the oldest are forgotten first");
 }
 
 #[test]
--- a/crates/waxwing-vm/src/forward.rs
+++ b/crates/waxwing-vm/src/forward.rs
@@ -19,7 +19,6 @@
 use crate::connection_pool;
 use crate::exchange;
 use crate::http_adapter;
-use crate::leased_server;
 use crate::refusal;
 use crate::request_admission;
 use crate::service_pools;
@@ -269,10 +268,10 @@
     request: &request_admission::AdmittedRequest,
     slot: &mut service_pools::Slot,
 ) -> Result<exchange::Response, exchange::Failure> {
-    let lease = slot.lease().clone();
+    let server = slot.server();
     let time_left = request.time_left();
     let organisation = request.organisation.as_ref();
-    let context = http_adapter::ForwardContext { lease: &lease, time_left, organisation };
+    let context = http_adapter::ForwardContext { lease: server.lease(), time_left, organisation };
     let upstream_request = exchange::Request {
         request_id: request.incoming.request_id.clone(),
         method: request.method.clone(),
@@ -282,9 +281,8 @@
         repeatability: request.route.repeatability,
         response_memory: vm.reserve_body_memory(),
     };
-    let server = rc::Rc::new(leased_server::LeasedServer::new(vm, &request.service, &lease));
     let adapter = vm.adapter.as_ref();
-    let result = exchange::exchange(pool, adapter, &server, upstream_request, time_left).await;
+    let result = exchange::exchange(pool, adapter, server, upstream_request, time_left).await;
     match &result {
         Ok(response) => slot.set_outcome(attempt_outcome_of(response), response.reading.load),
         Err(failure) => slot.set_outcome(failure.attempt_outcome(), failure.load()),
--- a/crates/waxwing-vm/src/leased_server.rs
+++ b/crates/waxwing-vm/src/leased_server.rs
@@ -6,6 +6,7 @@
 use waxwing_machine::availability;
 use waxwing_machine::placement;
 use waxwing_machine::retry_after;
+use waxwing_machine::server_health;
 use waxwing_process::clock;
 use waxwing_units::id;
 use waxwing_units::time as units_time;
@@ -23,8 +24,8 @@
 
 impl LeasedServer {
     /// Names the server of a service that `lease` is for.
-    pub fn new(vm: &vm::Shared, service: &id::ServiceId, lease: &placement::Lease) -> Self {
-        Self { vm: vm.clone(), service: service.clone(), lease: lease.clone() }
+    pub fn new(vm: &vm::Shared, service: &id::ServiceId, lease: placement::Lease) -> Self {
+        Self { vm: vm.clone(), service: service.clone(), lease }
     }
 
     /// Returns the identity and address of the server.
@@ -37,6 +38,15 @@
         self.vm.pools.accepts_requests(&self.service, &self.lease)
     }
 
+    /// Releases the slot with the outcome of the attempt and the load that the server reported.
+    pub fn release(
+        &self,
+        outcome: server_health::AttemptOutcome,
+        load: Option<server_health::Load>,
+    ) {
+        self.vm.pools.release(&self.service, &self.lease, outcome, load);
+    }
+
     /// Applies what the head of a response says about the server.
     pub fn apply_reading(&self, reading: &http_adapter::Reading) {
         if reading.verdict == http_adapter::Verdict::OtherServer {
--- a/crates/waxwing-vm/src/service_pools.rs
+++ b/crates/waxwing-vm/src/service_pools.rs
@@ -1,6 +1,6 @@
 //! The backend servers and the retry budget of each service, and the traffic split of each route.
 
-use std::sync;
+use std::rc;
 use std::time;
 
 use parking_lot::Mutex;
@@ -15,6 +15,7 @@
 use waxwing_units::id;
 use waxwing_units::rendezvous;
 
+use crate::leased_server;
 use crate::vm;
 
 /// The number of shards of the pools, and of those of the traffic splits.
@@ -57,9 +58,7 @@
 /// A slot at a backend server for one attempt. Dropping it releases the slot and reports the
 /// outcome to the pool.
 pub struct Slot {
-    vm: vm::Shared,
-    service: id::ServiceId,
-    lease: placement::Lease,
+    server: rc::Rc<leased_server::LeasedServer>,
     outcome: server_health::AttemptOutcome,
     load: Option<server_health::Load>,
 }
@@ -75,9 +74,14 @@
 }
 
 impl Slot {
+    /// Returns the server.
+    pub const fn server(&self) -> &rc::Rc<leased_server::LeasedServer> {
+        &self.server
+    }
+
     /// Returns the identity and address of the server.
-    pub const fn lease(&self) -> &placement::Lease {
-        &self.lease
+    pub fn lease(&self) -> &placement::Lease {
+        self.server.lease()
     }
 
     /// Records how the attempt ended and the load that the server reported; both are applied on
@@ -94,9 +98,7 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        let now = clock::now();
-        let (lease, outcome, load) = (&self.lease, self.outcome, self.load);
-        self.vm.pools.with_pool(&self.service, |pool| pool.pool.release(now, lease, outcome, load));
+        self.server.release(self.outcome, self.load);
     }
 }
 
@@ -162,9 +164,7 @@
         let now = clock::now();
         match self.with_pool(service, |pool| pool.pool.acquire(now, criteria)) {
             Some(placement::Choice::Server(lease)) => Acquired::Slot(Slot {
-                vm: sync::Arc::clone(vm),
-                service: service.clone(),
-                lease,
+                server: rc::Rc::new(leased_server::LeasedServer::new(vm, service, lease)),
                 outcome: server_health::AttemptOutcome::NotAttributable,
                 load: None,
             }),
@@ -173,6 +173,18 @@
         }
     }
 
+    /// Releases a slot with the outcome of the request and the load that the server reported.
+    pub fn release(
+        &self,
+        service: &id::ServiceId,
+        lease: &placement::Lease,
+        outcome: server_health::AttemptOutcome,
+        load: Option<server_health::Load>,
+    ) {
+        let now = clock::now();
+        self.with_pool(service, |pool| pool.pool.release(now, lease, outcome, load));
+    }
+
     /// Applies a statement about the server of a lease; returns the change of its state.
     pub fn observe(
         &self,
