--- a/crates/waxwing-vm/src/exchange.rs
+++ b/crates/waxwing-vm/src/exchange.rs
@@ -3,6 +3,8 @@
 //! A response is read to its end before any of it is forwarded. So a truncated response never looks
 //! like a shorter complete one, and an idempotent request can be retried instead.
 
+use std::rc;
+
 use futures_util::StreamExt;
 use ntex::client;
 use ntex::client::error as client_error;
@@ -21,6 +23,7 @@
 use crate::body_memory;
 use crate::connection_pool;
 use crate::http_adapter;
+use crate::leased_server;
 
 /// The largest response body that is buffered, in bytes.
 const RESPONSE_MAX_BYTES: usize = 16 * 1024 * 1024;
@@ -84,6 +87,7 @@
             | attempt::Fault::MalformedResponse => server_health::AttemptOutcome::Failed,
             attempt::Fault::NoSlot
             | attempt::Fault::CallerDisconnected
+            | attempt::Fault::ServerUnavailable
             | attempt::Fault::UploadInterrupted => server_health::AttemptOutcome::NotAttributable,
         }
     }
@@ -103,17 +107,20 @@
 pub async fn exchange(
     pool: &connection_pool::ConnectionPool,
     adapter: &dyn http_adapter::HttpAdapter,
-    lease: &placement::Lease,
+    server: &rc::Rc<leased_server::LeasedServer>,
     request: Request,
     shutdown: &shutdown::Shutdown,
 ) -> Result<Response, Failure> {
     let (request_id, deadline) = (request.request_id.clone(), request.deadline);
-    let taken = pool.take(lease, &request_id, request.repeatability).await;
+    let taken = pool.take(server, &request_id, request.repeatability).await;
     let Ok(mut connection) = taken else {
-        log::error!("can't create an HTTP client for {}", lease.server);
+        log::error!("can't create an HTTP client for {}", server.lease().server);
         return Err(failure(attempt::State::Connecting, attempt::Fault::ConnectFailed));
     };
-    let exchange_future = send_and_read(&connection, adapter, &request_id, lease, request);
+    if !server.accepts_requests() {
+        return Err(failure(attempt::State::Connecting, attempt::Fault::ServerUnavailable));
+    }
+    let exchange_future = send_and_read(&connection, adapter, server, request);
     let result = shutdown.timeout(deadline, exchange_future).await;
     let result = result
         .unwrap_or_else(|_| Err(failure(connection.state(), attempt::Fault::DeadlineExceeded)));
@@ -142,18 +149,24 @@
 async fn send_and_read(
     connection: &connection_pool::Connection,
     adapter: &dyn http_adapter::HttpAdapter,
-    request_id: &str,
-    lease: &placement::Lease,
+    server: &leased_server::LeasedServer,
     request: Request,
 ) -> Result<Response, Failure> {
     let is_head = request.method == http::Method::HEAD;
+    let lease = server.lease();
+    let request_id = request.request_id.clone();
     let (response, mut memory) = send(connection, lease, request).await.map_err(|error| {
         log::debug!("no response from {} to {request_id}: {error}", lease.server);
-        failure(connection.state(), fault_of(&error, connection.state()))
+        let state = connection.state();
+        match state == attempt::State::Connecting && !server.accepts_requests() {
+            true => failure(state, attempt::Fault::ServerUnavailable),
+            false => failure(state, fault_of(&error, state)),
+        }
     })?;
     connection.set_state(attempt::State::Sent);
     let status = response.status();
-    let mut reading = adapter.parse_response(request_id, status, response.headers());
+    let mut reading = adapter.parse_response(&request_id, status, response.headers());
+    server.apply_reading(&reading);
     let malformed = Failure {
         state: attempt::State::Sent,
         fault: attempt::Fault::MalformedResponse,
--- a/crates/waxwing-vm/src/service_pools.rs
+++ b/crates/waxwing-vm/src/service_pools.rs
@@ -1,8 +1,10 @@
 //! The backend servers and the retry budget of each service, and the traffic split of each route.
 
-use std::sync;
+use std::rc;
+use std::time;
 
 use parking_lot::Mutex;
+use waxwing_machine::availability;
 use waxwing_machine::placement;
 use waxwing_machine::server_health;
 use waxwing_machine::server_set;
@@ -13,6 +15,7 @@
 use waxwing_units::id;
 use waxwing_units::rendezvous;
 
+use crate::leased_server;
 use crate::vm;
 
 /// The number of shards of the pools, and of those of the traffic splits.
@@ -55,9 +58,7 @@
 /// A slot at a backend server for one attempt. Dropping it releases the slot and reports the
 /// outcome to the pool.
 pub struct Slot {
-    vm: vm::Shared,
-    service: id::ServiceId,
-    lease: placement::Lease,
+    server: rc::Rc<leased_server::LeasedServer>,
     outcome: server_health::AttemptOutcome,
     load: Option<server_health::Load>,
 }
@@ -66,16 +67,21 @@
 pub enum Acquired {
     /// A slot at a server.
     Slot(Slot),
-    /// No eligible server takes the request now: all are full, ejected or cold.
+    /// No eligible server takes the request now: all are full, backing off, ejected or cold.
     Full,
     /// No server is eligible for the request.
     NoneEligible,
 }
 
 impl Slot {
+    /// Returns the server.
+    pub const fn server(&self) -> &rc::Rc<leased_server::LeasedServer> {
+        &self.server
+    }
+
     /// Returns the identity and address of the server.
-    pub const fn lease(&self) -> &placement::Lease {
-        &self.lease
+    pub fn lease(&self) -> &placement::Lease {
+        self.server.lease()
     }
 
     /// Records how the attempt ended and the load that the server reported; both are applied on
@@ -92,9 +98,7 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        let now = clock::now();
-        let (lease, outcome, load) = (&self.lease, self.outcome, self.load);
-        self.vm.pools.with_pool(&self.service, |pool| pool.pool.release(now, lease, outcome, load));
+        self.server.release(self.outcome, self.load);
     }
 }
 
@@ -113,13 +117,14 @@
         Some(operation(&mut shard[at]))
     }
 
-    /// Replaces the servers of a service with those in `known`, sorted by name.
+    /// Replaces the servers of a service with those in `known`, sorted by name, and returns the
+    /// changes of their states.
     pub fn update(
         &self,
         service: &id::ServiceId,
         known: &[&server_set::KnownServer],
         context: &placement::Context<'_>,
-    ) {
+    ) -> Vec<availability::Transition> {
         let now = clock::now();
         let mut shard = self.shards[self.shard(service.as_str())].lock();
         let at = match shard.binary_search_by(|pool| pool.service.cmp(service)) {
@@ -129,7 +134,7 @@
                 at
             }
         };
-        shard[at].pool.update(now, known, context);
+        shard[at].pool.update(now, known, context)
     }
 
     /// Returns the service that the weighted round robin of a route's traffic split selects next.
@@ -159,9 +164,7 @@
         let now = clock::now();
         match self.with_pool(service, |pool| pool.pool.acquire(now, criteria)) {
             Some(placement::Choice::Server(lease)) => Acquired::Slot(Slot {
-                vm: sync::Arc::clone(vm),
-                service: service.clone(),
-                lease,
+                server: rc::Rc::new(leased_server::LeasedServer::new(vm, service, lease)),
                 outcome: server_health::AttemptOutcome::NotAttributable,
                 load: None,
             }),
@@ -170,9 +173,45 @@
         }
     }
 
-    /// Removes a server that is gone or whose address another server has taken over.
-    pub fn remove(&self, service: &id::ServiceId, lease: &placement::Lease) {
-        self.with_pool(service, |pool| pool.pool.remove(lease));
+    /// Releases a slot with the outcome of the request and the load that the server reported.
+    pub fn release(
+        &self,
+        service: &id::ServiceId,
+        lease: &placement::Lease,
+        outcome: server_health::AttemptOutcome,
+        load: Option<server_health::Load>,
+    ) {
+        let now = clock::now();
+        self.with_pool(service, |pool| pool.pool.release(now, lease, outcome, load));
+    }
+
+    /// Applies a statement about the server of a lease; returns the change of its state.
+    pub fn observe(
+        &self,
+        service: &id::ServiceId,
+        lease: &placement::Lease,
+        observation: availability::Observation,
+    ) -> Option<availability::Transition> {
+        let now = clock::now();
+        self.with_pool(service, |pool| pool.pool.observe(now, lease, observation)).flatten()
+    }
+
+    /// Returns whether the server of a lease still accepts new requests.
+    pub fn accepts_requests(&self, service: &id::ServiceId, lease: &placement::Lease) -> bool {
+        let now = clock::now();
+        self.with_pool(service, |pool| pool.pool.accepts_requests(now, lease)).unwrap_or(false)
+    }
+
+    /// Returns how long all servers of a service that may run requests where `allows` accepts it
+    /// are backing off.
+    pub fn backoff_left(
+        &self,
+        service: &id::ServiceId,
+        allows: &dyn Fn(&id::FailureDomainId) -> bool,
+    ) -> Option<time::Duration> {
+        let now = clock::now();
+        let end = self.with_pool(service, |pool| pool.pool.backoff_end(now, allows)).flatten();
+        end.map(|end| end.since(now))
     }
 
     /// Records how long a server expects to stay cold.
@@ -180,7 +219,7 @@
         &self,
         service: &id::ServiceId,
         lease: &placement::Lease,
-        cold_left: std::time::Duration,
+        cold_left: time::Duration,
     ) {
         let now = clock::now();
         self.with_pool(service, |pool| pool.pool.set_cold(now, lease, cold_left));
