--- a/crates/waxwing-machine/src/server_set.rs
+++ b/crates/waxwing-machine/src/server_set.rs
@@ -5,8 +5,8 @@
 //! So servers that are missing right after an outage stay in use until they had time to do so.
 //! The same holds right after the store was restored from a copy.
 //!
-//! A registration may also come back after its server has left: one that was delayed on its way to
-//! the store, or that of a copy. So the last registrations of servers that have left are remembered.
+//! The store may also list a server that has left: its heartbeat was delayed, or the store was
+//! restored. So the last registrations of servers that have left are remembered.
 
 use std::time;
 
--- a/crates/waxwing-machine/tests/machine/membership.rs
+++ b/crates/waxwing-machine/tests/machine/membership.rs
@@ -242,7 +242,7 @@
     assert_eq!(names(&membership), ["a", "d"]);
 }
 
-/// A heartbeat from before the restoration must not stand for having read a later registration.
+/// A heartbeat from before the restoration is no proof that its sender read a later registration.
 #[test]
 fn a_machine_is_not_admitted_by_revisions_of_an_earlier_era() {
     let created = id::Revision::in_era(id::StoreEra(2), 5);
--- a/crates/waxwing-vm/src/http_adapter.rs
+++ b/crates/waxwing-vm/src/http_adapter.rs
@@ -78,8 +78,7 @@
     pub cold_left: Option<time::Duration>,
     /// Whether the server announces that it drains.
     pub is_draining: bool,
-    /// How long a server that refused the request with status 503 asks for no further ones, if it
-    /// says so.
+    /// The backoff that a server requests beside status 503; `None` if it requests none.
     pub retry_after: Option<retry_after::Result<retry_after::RetryAfter>>,
     /// How long the connection can be reused; `None` if the server closes it.
     pub keeps: Option<time::Duration>,
