--- a/review/stand-ins/broken_copies.rs
+++ b/review/stand-ins/broken_copies.rs
@@ -71,6 +71,7 @@
                     let is_record = count % 8 != 7;
                     let kind = if is_record { "record" } else { "lookup" };
                     let id = format!("{kind}-{vm}-{number}-{count}");
+                    record.add(format!("{id} is sent to {vm}"));
                     let answer = call(front, &id, number + count, is_record);
                     let (status, retry_after) = answer.unwrap_or((0, 0.1));
                     record.add(format!("{id} is answered {status}"));
--- a/review/stand-ins/restored_start.rs
+++ b/review/stand-ins/restored_start.rs
@@ -171,6 +171,7 @@
             let sent_at = self.record.now();
             // A machine that does not listen yet has not been sent anything.
             if let Ok(stream) = net::TcpStream::connect(front) {
+                self.record.add(format!("{id} is sent to {vm}"));
                 let status = self.call(stream, &id, key).unwrap_or(0);
                 self.record
                     .add(format!("{id} was sent at {:.3}, answer {status}", sent_at.as_secs_f64()));
--- a/review/stand-ins/slow_download.rs
+++ b/review/stand-ins/slow_download.rs
@@ -87,26 +87,27 @@
     let mut threads: Vec<_> =
         (0..CLIENTS).map(|number| clients.start("usual", number, USUAL_INTERVAL)).collect();
     let vm = &mut deployment.vms[0];
-    let mut peak_kib = watch_memory(vm, BURST_AFTER, record);
+    let mut kills = Vec::new();
+    let mut peak_kib = watch_memory(vm, BURST_AFTER, record, &mut kills);
     if has_trouble {
         record.announce(format!("a burst: {BURST_CLIENTS} clients instead of {CLIENTS}"));
         let more = BURST_CLIENTS - CLIENTS;
         threads.extend((0..more).map(|number| burst.start("burst", number, BURST_INTERVAL)));
     }
-    peak_kib = peak_kib.max(watch_memory(vm, BURST_TIME, record));
+    peak_kib = peak_kib.max(watch_memory(vm, BURST_TIME, record, &mut kills));
     burst.is_stopped.store(true, Ordering::Release);
-    peak_kib = peak_kib.max(watch_memory(vm, REST, record));
+    peak_kib = peak_kib.max(watch_memory(vm, REST, record, &mut kills));
     record.announce(format!("largest memory of {}: {peak_kib} of {MEMORY_MAX_KIB} KiB", vm.name));
     clients.is_stopped.store(true, Ordering::Release);
     threads.into_iter().for_each(|thread| thread.join().expect("a client does not panic"));
     let runs = deployment.runs.lock().unwrap().clone();
     let sent = clients.sent.lock().unwrap().clone();
-    judge(&sent, &runs, record)
+    judge(&sent, &runs, kills.first().copied(), record)
 }
 
 /// Plays the platform for a time: it kills a process that exceeds its memory, and starts it again.
 /// Returns the largest memory.
-fn watch_memory(vm: &mut Vm, time: Duration, record: &Record) -> u64 {
+fn watch_memory(vm: &mut Vm, time: Duration, record: &Record, kills: &mut Vec<Duration>) -> u64 {
     let until = record.now() + time;
     let mut peak_kib = 0;
     while record.now() < until {
@@ -114,6 +115,7 @@
         peak_kib = peak_kib.max(memory_kib);
         if memory_kib > MEMORY_MAX_KIB {
             record.announce(format!("{} uses {memory_kib} KiB and is killed", vm.name));
+            kills.push(record.now());
             vm.signal("KILL");
             thread::sleep(RESTART_DELAY);
             vm.restart();
@@ -130,8 +132,14 @@
     line.and_then(|text| text.trim().trim_end_matches(" kB").parse().ok()).unwrap_or(0)
 }
 
-/// Applies the rule LOST to requests on kept connections.
-fn judge(sent: &[Sent], runs: &[upstream::Run], record: &Record) -> Verdict {
+/// Applies the rule LOST to requests on kept connections that the first kill has cut; the machine
+/// was in touch until then.
+fn judge(
+    sent: &[Sent],
+    runs: &[upstream::Run],
+    first_kill: Option<Duration>,
+    record: &Record,
+) -> Verdict {
     let by_request: HashMap<&str, &upstream::Run> =
         runs.iter().map(|run| (run.request.as_str(), run)).collect();
     let mut counts: HashMap<u16, usize> = HashMap::new();
@@ -140,7 +148,15 @@
         *counts.entry(request.status).or_default() += 1;
         let has_run = by_request.contains_key(request.id.as_str());
         let is_in_time = request.ended_at < request.sent_at + LIMIT;
-        if request.status == 0 && request.is_on_kept_connection && has_run && is_in_time {
+        let is_cut_by_kill = first_kill.is_some_and(|at| {
+            request.sent_at < at && request.ended_at < at + Duration::from_secs(1)
+        });
+        if request.status == 0
+            && request.is_on_kept_connection
+            && has_run
+            && is_in_time
+            && is_cut_by_kill
+        {
             lost += 1;
             record.add(format!(
                 "LOST {}: sent at {:.3}, passed on and run, cut at {:.3}",
@@ -186,6 +202,7 @@
             };
             let id = format!("{name}-{count}");
             let sent_at = self.record.now();
+            self.record.add(format!("{id} is sent"));
             let answer = call(&mut reader, &id, object);
             let status = answer.as_ref().map_or(0, http::Head::status);
             let ended_at = self.record.now();
