--- a/crates/waxwing-request/tests/request/main.rs
+++ b/crates/waxwing-request/tests/request/main.rs
@@ -7,3 +7,4 @@
 mod retry;
 mod return_schedule;
 mod shutdown;
+mod status_line;
--- a/crates/waxwing-vm/src/connection_pool.rs
+++ b/crates/waxwing-vm/src/connection_pool.rs
@@ -32,6 +32,7 @@
 use waxwing_units::time as units_time;
 
 use crate::leased_server;
+use crate::response_guard;
 
 /// How long opening a connection may take.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(800);
@@ -61,6 +62,7 @@
     endpoint: Endpoint,
     client: client::Client,
     state: StateCell,
+    guard: response_guard::ResponseGuard,
     /// How long the connection was idle before this use; `None` for a new one.
     idle_before_use: Option<time::Duration>,
     /// The hashes of the ids of requests that were refused on the connection, sorted.
@@ -104,6 +106,11 @@
         self.state.set(state);
     }
 
+    /// Returns whether the response began before the last byte of its request was written.
+    pub fn is_response_premature(&self) -> bool {
+        self.guard.is_premature()
+    }
+
     /// Records that the server refused the request `request_id` on the connection.
     pub fn record_refusal(&mut self, request_id: &str) {
         let hash = rendezvous::hash(request_id);
@@ -140,8 +147,16 @@
             return Ok(reused);
         }
         let state: StateCell = rc::Rc::new(cell::Cell::new(attempt::State::Connecting));
-        let client = single_connection_client(state.clone(), server.clone()).await?;
-        Ok(Connection { endpoint, client, state, idle_before_use: None, refused: Vec::new() })
+        let guard = response_guard::ResponseGuard::default();
+        let client = single_connection_client(&state, &guard, server.clone()).await?;
+        Ok(Connection {
+            endpoint,
+            client,
+            state,
+            guard,
+            idle_before_use: None,
+            refused: Vec::new(),
+        })
     }
 
     /// Returns the longest idle time of a connection that a request may reuse.
@@ -201,6 +216,7 @@
         if connection.refused.len() >= REFUSALS_MAX {
             return;
         }
+        connection.guard.reset();
         let since = clock::now();
         let usable_until = since.after(keep_for);
         self.idle.borrow_mut().push(Idle { connection, since, usable_until });
@@ -210,10 +226,12 @@
 /// Creates a client that records in `state` how far its connection has got. Opening a connection
 /// fails if `server` accepts no new requests by then.
 async fn single_connection_client(
-    state: StateCell,
+    state: &StateCell,
+    guard: &response_guard::ResponseGuard,
     server: rc::Rc<leased_server::LeasedServer>,
 ) -> Result<client::Client, client_error::ClientError> {
     let connect = connect::Connector::<http::Uri>::new();
+    let (state, guard) = (state.clone(), guard.clone());
     let state_tracking = service::apply_fn_factory(connect, async move |to, connector| {
         state.set(attempt::State::Connecting);
         let connecting = connector.call(to);
@@ -223,7 +241,8 @@
             return Err(connect::ConnectError::Unresolved);
         }
         state.set(attempt::State::Sending);
-        Ok::<_, connect::ConnectError>(io)
+        guard.reset();
+        Ok::<_, connect::ConnectError>(io.add_filter(guard.clone()))
     });
     client::Client::builder()
         .connector::<http::Uri>(client::Connector::new().connector(state_tracking))
--- a/crates/waxwing-vm/src/exchange.rs
+++ b/crates/waxwing-vm/src/exchange.rs
@@ -17,6 +17,7 @@
 use waxwing_process::shutdown;
 use waxwing_request::attempt;
 use waxwing_request::body_length;
+use waxwing_request::status_line;
 use waxwing_units::size;
 use waxwing_units::time as units_time;
 
@@ -165,13 +166,13 @@
     })?;
     connection.set_state(attempt::State::Sent);
     let status = response.status();
+    if has_joined_head(response.headers()) {
+        log::info!("the response of {} to {request_id} contains two heads", lease.server);
+        return Err(failure(attempt::State::Sent, attempt::Fault::MalformedResponse));
+    }
     let mut reading = adapter.parse_response(&request_id, status, response.headers());
     server.apply_reading(&reading);
-    let malformed = Failure {
-        state: attempt::State::Sent,
-        fault: attempt::Fault::MalformedResponse,
-        reading: None,
-    };
+    let malformed = failure(attempt::State::Sent, attempt::Fault::MalformedResponse);
     let length = body_length(&response, is_head).map_err(|error| {
         log::info!("the response of {} to {request_id} can't be read: {error}", lease.server);
         malformed
@@ -186,16 +187,19 @@
             }
         }
     })?;
+    let is_refusal_valid = !connection.is_response_premature();
     match reading.verdict {
         http_adapter::Verdict::Answered | http_adapter::Verdict::AnsweredFailure => {
             Ok(Response { status, headers, body, memory, reading })
         }
-        http_adapter::Verdict::NotRun | http_adapter::Verdict::OtherServer => Err(Failure {
-            state: attempt::State::Sent,
-            fault: attempt::Fault::DeclaredNotRun,
-            reading: Some(reading),
-        }),
-        http_adapter::Verdict::Foreign | http_adapter::Verdict::Unusable => {
+        http_adapter::Verdict::NotRun | http_adapter::Verdict::OtherServer if is_refusal_valid => {
+            let fault = attempt::Fault::DeclaredNotRun;
+            Err(Failure { fault, reading: Some(reading), ..malformed })
+        }
+        http_adapter::Verdict::NotRun
+        | http_adapter::Verdict::OtherServer
+        | http_adapter::Verdict::Foreign
+        | http_adapter::Verdict::Unusable => {
             log::info!(
                 "the response of {} to {request_id} can't be forwarded: {reading:?}",
                 lease.server
@@ -206,6 +210,11 @@
     }
 }
 
+/// Returns whether a header's value contains the status line of another response.
+fn has_joined_head(headers: &header::HeaderMap) -> bool {
+    headers.iter().any(|(_, value)| status_line::is_contained_in(value.as_bytes()))
+}
+
 async fn send(
     connection: &connection_pool::Connection,
     lease: &placement::Lease,
--- a/crates/waxwing-vm/src/lib.rs
+++ b/crates/waxwing-vm/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod refusal;
 pub mod registration;
 pub mod request_admission;
+pub mod response_guard;
 pub mod run;
 pub mod server_events;
 pub mod service_pools;
