--- a/crates/waxwing-vm/src/caller_connection.rs
+++ b/crates/waxwing-vm/src/caller_connection.rs
@@ -37,6 +37,9 @@
 /// How long sending the last response on a connection may take.
 const FLUSH_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 
+/// How long what a caller still sends is read and dropped after the last response.
+const LINGER_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
 /// The most requests of one connection that are handled concurrently.
 const PIPELINED_MAX: usize = 16;
 
@@ -203,17 +206,30 @@
 }
 
 /// Closes a connection after all written bytes were sent; `unsent` is dropped then.
+///
+/// What the caller still sends is read and dropped until it closes the connection, for
+/// [`LINGER_TIMEOUT`] at most. Closing with unread bytes, or before requests that are under way arrive,
+/// would reset the connection, and the caller's system then drops responses that it has not delivered.
 async fn close(io: &io::IoBoxed, unsent: Vec<forward::InFlightGuard>) {
-    let closing = async {
-        io.flush(true).await?;
-        drop(unsent);
-        io.shutdown().await
-    };
-    match timer::timeout(FLUSH_TIMEOUT, closing).await {
-        Ok(Ok(())) => (),
-        Ok(Err(error)) => log::debug!("closing a caller's connection failed: {error}"),
+    match timer::timeout(FLUSH_TIMEOUT, io.flush(true)).await {
+        Ok(Ok(())) => drop(timer::timeout(LINGER_TIMEOUT, drop_input(io)).await),
+        Ok(Err(error)) => log::debug!("sending the last response to a caller failed: {error}"),
         Err(timer::Elapsed) => log::info!("a caller did not read its last response in time"),
     }
+    drop(unsent);
+    if let Ok(Err(error)) = timer::timeout(FLUSH_TIMEOUT, io.shutdown()).await {
+        log::debug!("closing a caller's connection failed: {error}");
+    }
+}
+
+/// Reads and drops what arrives, until the caller closes the connection.
+async fn drop_input(io: &io::IoBoxed) {
+    loop {
+        io.with_read_buf(|buffer| buffer.clear());
+        if !matches!(io.read_ready().await, Ok(Some(()))) {
+            return;
+        }
+    }
 }
 
 impl RequestReader<'_> {
