--- a/crates/waxwing-machine/src/store_history.rs
+++ b/crates/waxwing-machine/src/store_history.rs
@@ -18,10 +18,12 @@
 
 impl StoreHistory {
     /// Records the era of a response that arrived at `now`; returns whether the store was restored
-    /// since the last one.
+    /// since the last one, or may have been restored right before the first.
+    ///
+    /// A machine that has just started can't tell how long a later era than the first has lasted.
     pub fn enter_era(&mut self, now: units_time::MonoInstant, era: id::StoreEra) -> bool {
         let era = era.max(id::StoreEra::FIRST);
-        let is_restored = self.era.is_some_and(|known| known < era);
+        let is_restored = self.era.unwrap_or(id::StoreEra::FIRST) < era;
         if is_restored {
             self.restored_at = Some(now);
         }
--- a/crates/waxwing-machine/tests/machine/main.rs
+++ b/crates/waxwing-machine/tests/machine/main.rs
@@ -9,4 +9,5 @@
 mod pool;
 mod server_list;
 mod server_set;
+mod store_history;
 mod store_reader;
--- a/crates/waxwing-vm/src/store_poll.rs
+++ b/crates/waxwing-vm/src/store_poll.rs
@@ -15,6 +15,7 @@
 use waxwing_process::clock;
 use waxwing_process::timer;
 use waxwing_protocol::replication;
+use waxwing_route::table;
 use waxwing_units::time as units_time;
 
 use crate::peers;
@@ -28,6 +29,10 @@
 /// which registrations may have expired, and after a restoration.
 const UNSETTLED_POLL_INTERVAL: time::Duration = time::Duration::from_millis(200);
 
+/// The number of reads without a confirmation after which they become rarer and a line tells why; the
+/// store may lack writes for less time.
+const UNCONFIRMED_READS_MAX: u32 = 15;
+
 /// How often a VM checks whether it has become the reader of its region.
 const READER_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(200);
 
@@ -37,6 +42,7 @@
 /// Polls the configuration; never returns.
 pub async fn poll_configuration<R: registry::Registry>(vm: vm::Shared, registry: sync::Arc<R>) {
     let mut failures_in_a_row = 0;
+    let mut unconfirmed_in_a_row = 0;
     loop {
         let requested_at = clock::now();
         let result = registry.configuration().await;
@@ -49,8 +55,13 @@
         match result {
             Ok(update) => {
                 vm.enter_store_era(registry.era());
-                if !activate(&vm, update, requested_at) {
-                    timer::sleep(UNSETTLED_POLL_INTERVAL).await;
+                let is_confirmed = activate(&vm, update, requested_at);
+                unconfirmed_in_a_row = match is_confirmed {
+                    true => 0,
+                    false => record_unconfirmed(&vm, unconfirmed_in_a_row),
+                };
+                if !is_confirmed {
+                    timer::sleep(unsettled_poll_interval(unconfirmed_in_a_row)).await;
                 }
             }
             Err(_) => {
@@ -66,6 +77,29 @@
     }
 }
 
+/// Counts a read that did not confirm the configuration, and logs once why keys may be refused.
+fn record_unconfirmed(vm: &vm::Vm, unconfirmed_in_a_row: u32) -> u32 {
+    let unconfirmed_in_a_row = unconfirmed_in_a_row.saturating_add(1);
+    if unconfirmed_in_a_row == UNCONFIRMED_READS_MAX {
+        let active = vm.active_configuration();
+        let version = active.table.map(|table| table.version());
+        log::warn!(
+            "the store holds an older configuration than {version:?} or {:?}, which another machine \
+             has; it confirms nothing",
+            active.newest_version
+        );
+    }
+    unconfirmed_in_a_row
+}
+
+/// Returns how soon the configuration is read again after a read that confirmed nothing.
+const fn unsettled_poll_interval(unconfirmed_in_a_row: u32) -> time::Duration {
+    match unconfirmed_in_a_row < UNCONFIRMED_READS_MAX {
+        true => UNSETTLED_POLL_INTERVAL,
+        false => POLL_INTERVAL_MAX,
+    }
+}
+
 /// Waits until this VM has to read the store itself; `known_at` is when its present data was read.
 async fn wait_for_direct_read(
     vm: &vm::Vm,
@@ -159,6 +193,8 @@
     let mut active = vm.active_configuration.lock();
     let version = active.table.as_ref().map(|table| table.version().0);
     if version < Some(peer_configuration.version) {
+        let newest = table::Version(peer_configuration.version);
+        active.newest_version = active.newest_version.max(Some(newest));
         vm.needs_newer_table.store(true, atomic::Ordering::Release);
     } else if version == Some(peer_configuration.version) {
         active.confirm(known_at, peer_configuration.evacuated);
--- a/crates/waxwing-vm/src/store_replica.rs
+++ b/crates/waxwing-vm/src/store_replica.rs
@@ -132,8 +132,12 @@
             age_ms,
         }
     });
+    let newest_era = vm.store_history.lock().era();
     let state = vm.store_replica.state.lock();
-    let servers = state.servers_at.map(|at| replication::Servers {
+    // The receiver learns the era from the members; servers of a newer one would look as if those that
+    // a restored store lacks had left.
+    let sends_servers = newest_era <= Some(state.members.revision.era());
+    let servers = state.servers_at.filter(|_| sends_servers).map(|at| replication::Servers {
         changes: state.servers.changes_since(query.servers_version),
         age_ms: age_ms(now, at),
         failed_ago_ms: state.last_failure_at.map(|at| age_ms(now, at)),
--- a/crates/waxwing-vm/src/vm.rs
+++ b/crates/waxwing-vm/src/vm.rs
@@ -52,13 +52,17 @@
     pub evacuated: Vec<id::FailureDomainId>,
     /// When the last store query that confirmed this configuration was sent.
     pub confirmed_at: Option<units_time::MonoInstant>,
+    /// The newest version that any VM is known to have; while this one has an older one, nothing
+    /// confirms it.
+    pub newest_version: Option<table::Version>,
 }
 
 impl ActiveConfiguration {
-    /// Returns whether this configuration is newer than `version`; false if that is unknown.
+    /// Returns whether a newer configuration than `version` is known; false if that is unknown.
     pub fn is_newer_than(&self, version: Option<table::Version>) -> bool {
         let active = self.table.as_ref().map(|table| table.version());
-        version.is_some_and(|version| active > Some(version))
+        let newest = active.max(self.newest_version);
+        version.is_some_and(|version| newest > Some(version))
     }
 
     /// Adds evacuated failure domains that a store query found which proves nothing about the end
@@ -289,7 +293,7 @@
     /// Records the era of a response of the store, read by this VM or another one.
     pub fn enter_store_era(&self, era: id::StoreEra) {
         if self.store_history.lock().enter_era(clock::now(), era) {
-            log::warn!("the store was restored from a copy; it is in era {era}");
+            log::warn!("the store was restored from a copy, maybe just now; it is in era {era}");
         }
     }
 
