--- a/crates/waxwing-machine/src/membership.rs
+++ b/crates/waxwing-machine/src/membership.rs
@@ -151,9 +151,14 @@
             let until = now.after(units_time::extend_by_clock_drift(lease_max));
             self.lost_members.extend(known.map(|member| LostMember { member, until }));
         }
+        // One that is listed again may be so by its restored lease, which can end before the machine
+        // registers anew.
+        self.lost_members.retain(|lost| now < lost.until);
         let is_listed = |vm: &id::VmId| list.members.iter().any(|member| member.about.vm == *vm);
-        self.lost_members.retain(|lost| now < lost.until && !is_listed(&lost.member.about.vm));
-        list.members.extend(self.lost_members.iter().map(|lost| lost.member.clone()));
+        let unlisted = |lost: &&LostMember| !is_listed(&lost.member.about.vm);
+        let missing: Vec<Member> =
+            self.lost_members.iter().filter(unlisted).map(|lost| lost.member.clone()).collect();
+        list.members.extend(missing);
         list.members.sort_by(|a, b| a.about.vm.cmp(&b.about.vm));
         self.member_list = list;
     }
--- a/crates/waxwing-machine/src/server_set.rs
+++ b/crates/waxwing-machine/src/server_set.rs
@@ -21,6 +21,10 @@
 /// The number of servers that have left whose last registrations are remembered.
 const DEPARTED_MAX: usize = 4_096;
 
+/// How long a server that has left is remembered; copies of the store are seconds old, and a server whose
+/// clock was set back registers with an earlier start.
+const DEPARTED_VALIDITY: time::Duration = time::Duration::from_secs(60);
+
 /// The last registration of a server that has left.
 #[derive(Debug, Clone)]
 struct Departed {
@@ -106,6 +110,7 @@
         now: units_time::MonoInstant,
         mut listed: Vec<server_registration::ServerRegistration>,
     ) {
+        self.departed.retain(|departed| now.since(departed.at) < DEPARTED_VALIDITY);
         listed.retain(|registration| !self.has_departed(registration));
         listed.sort_by(|a, b| a.server.cmp(&b.server));
         let removes_missing = !self.is_unsettled(now);
--- a/crates/waxwing-machine/tests/machine/membership.rs
+++ b/crates/waxwing-machine/tests/machine/membership.rs
@@ -242,6 +242,23 @@
     assert_eq!(names(&membership), ["a", "d"]);
 }
 
+/// Regression: a member that the copy listed was forgotten, although its restored lease may end before it
+/// registers again while it still relies on its share.
+#[test]
+fn a_lost_member_that_is_listed_for_a_while_is_counted_until_its_lease_has_ended() {
+    let restored = |counter: u64, members: &[(&str, u64)]| membership::MemberList {
+        revision: id::Revision::in_era(id::StoreEra(2), counter),
+        ..member_list(counter, members)
+    };
+    let mut membership = membership_of("a");
+    membership.apply_list(at_ms(0), LEASE, member_list(9, &[("a", 1), ("b", 2)]));
+    membership.apply_list(at_ms(1_000), LEASE, restored(4, &[("a", 1), ("b", 2)]));
+    membership.apply_list(at_ms(2_000), LEASE, restored(5, &[("a", 1)]));
+    assert_eq!(membership.member_vms().len(), 2);
+    membership.apply_list(at_ms(12_000), LEASE, restored(6, &[("a", 1)]));
+    assert_eq!(membership.member_vms().len(), 1);
+}
+
 /// A heartbeat from before the restoration is no proof that its sender read a later registration.
 #[test]
 fn a_machine_is_not_admitted_by_revisions_of_an_earlier_era() {
--- a/crates/waxwing-machine/tests/machine/server_set.rs
+++ b/crates/waxwing-machine/tests/machine/server_set.rs
@@ -128,3 +128,16 @@
     set.apply_list(at_ms(7_200), vec![draining(6)]);
     assert_eq!(names(&set), ["s-2"]);
 }
+
+/// Regression: a server whose clock was set back, so that it started earlier than it had left, was ignored
+/// until it had counted beyond its old sequence.
+#[test]
+fn a_server_that_has_left_is_forgotten_after_a_while() {
+    let mut set = server_set::ServerSet::default();
+    set.apply_list(at_ms(0), vec![registered("s-1", 500)]);
+    set.apply_list(at_ms(1_000), Vec::new());
+    set.apply_list(at_ms(30_000), vec![registered("s-1", 1)]);
+    assert_eq!(names(&set), Vec::<String>::new());
+    set.apply_list(at_ms(61_000), vec![registered("s-1", 2)]);
+    assert_eq!(names(&set), ["s-1"]);
+}
