--- a/crates/waxwing-entry/src/forward.rs
+++ b/crates/waxwing-entry/src/forward.rs
@@ -221,6 +221,7 @@
         | attempt::Fault::NoSlot
         | attempt::Fault::ServerUnavailable
         | attempt::Fault::CallerDisconnected
+        | attempt::Fault::MemoryFull
         | attempt::Fault::UploadInterrupted => backend_server::AttemptOutcome::Shed,
     }
 }
--- a/crates/waxwing-machine/src/lib.rs
+++ b/crates/waxwing-machine/src/lib.rs
@@ -20,6 +20,7 @@
 //! * [`store_history`]: restorations of the store from a copy, as one machine observes them.
 //! * [`store_reader`]: election of the machine that reads the store for its region.
 //! * [`server_set`]: the backend servers in use, through outages of the store.
+//! * [`memory_budget`]: the memory held for callers, and which connection gives way when it runs out.
 //! * [`placement`]: choice among all backend servers of a service by object affinity.
 //! * `pooled_server`: one server of such a choice.
 //! * [`availability`]: whether a server accepts new requests, by its registration and responses.
@@ -33,6 +34,7 @@
 pub mod entry_vm;
 pub mod fleet;
 pub mod membership;
+pub mod memory_budget;
 pub mod placement;
 pub mod pool;
 mod pooled_server;
--- a/crates/waxwing-machine/tests/machine/main.rs
+++ b/crates/waxwing-machine/tests/machine/main.rs
@@ -5,6 +5,7 @@
 mod entry_choice;
 mod fleet;
 mod membership;
+mod memory_budget;
 mod placement;
 mod pool;
 mod server_list;
--- a/crates/waxwing-process/src/lib.rs
+++ b/crates/waxwing-process/src/lib.rs
@@ -11,10 +11,12 @@
 //! * [`signal`]: turns process signals into shutdown and reload actions.
 //! * [`timer`]: sleeps and timeouts for asynchronous code.
 //! * [`log_limiter`]: limits the rate of log lines.
+//! * [`descriptors`]: the limit on the descriptors of the process.
 
 pub mod admin;
 pub mod arguments;
 pub mod clock;
+pub mod descriptors;
 pub mod log_limiter;
 pub mod logs;
 pub mod metrics;
--- a/crates/waxwing-request/src/attempt.rs
+++ b/crates/waxwing-request/src/attempt.rs
@@ -48,10 +48,12 @@
     MalformedResponse,
     /// The backend server began to drain or back off before the request was sent.
     ServerUnavailable,
+    /// This machine has no memory for the response.
+    MemoryFull,
 }
 
 /// All faults, for tables over every fault.
-pub const FAULTS: [Fault; 9] = [
+pub const FAULTS: [Fault; 10] = [
     Fault::NoSlot,
     Fault::ConnectFailed,
     Fault::Disconnected,
@@ -61,6 +63,7 @@
     Fault::DeclaredNotRun,
     Fault::MalformedResponse,
     Fault::ServerUnavailable,
+    Fault::MemoryFull,
 ];
 
 /// Whether a request may be run more than once.
@@ -123,6 +126,7 @@
             | Fault::DeadlineExceeded
             | Fault::CallerDisconnected
             | Fault::UploadInterrupted
+            | Fault::MemoryFull
     );
     let may_run_again = !may_have_run || repeatability == Repeatability::Idempotent;
     let can_send_body = body == Body::Buffered || state < State::Sending;
@@ -195,6 +199,7 @@
             Self::DeclaredNotRun => "declared not run",
             Self::MalformedResponse => "answer malformed",
             Self::ServerUnavailable => "server unavailable",
+            Self::MemoryFull => "no memory left",
         })
     }
 }
--- a/crates/waxwing-units/src/id.rs
+++ b/crates/waxwing-units/src/id.rs
@@ -152,6 +152,11 @@
     };
 }
 
+number_type!(
+    /// Identifies a caller's connection within one process.
+    ConnectionId
+);
+
 number_type!(
     /// Distinguishes the starts of a process on the same machine.
     Incarnation
--- a/crates/waxwing-vm/src/caller_connection.rs
+++ b/crates/waxwing-vm/src/caller_connection.rs
@@ -3,38 +3,30 @@
 //!
 //! A caller may pipeline requests. If they were handled one by one, each would wait for all before
 //! it, so up to `PIPELINED_MAX` of a connection are handled concurrently. A body is read to its
-//! end before the next request is.
+//! end before the next request is. Responses are sent no faster than the caller reads them, and
+//! hold their memory until they were sent.
 
-use std::cell;
 use std::future::{self, Future};
-use std::io as std_io;
 use std::pin;
-use std::rc;
 use std::task;
 use std::time;
 
 use futures_util::StreamExt;
 use futures_util::stream;
 use ntex::http;
-use ntex::http::body;
-use ntex::http::error as http_error;
+use ntex::http::body as http_body;
 use ntex::http::h1;
-use ntex::http::header;
 use ntex::io;
 use ntex::util as ntex_util;
 use waxwing_process::timer;
 
+use crate::body;
 use crate::forward;
-use crate::trailers;
+use crate::memory;
+use crate::request_reader;
 use crate::vm;
 
-/// How long a caller's connection may be idle.
-const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(120);
-
-/// How long reading the head of a request may take.
-const HEAD_TIMEOUT: time::Duration = time::Duration::from_secs(10);
-
-/// How long sending the last response on a connection may take.
+/// How long sending the last part of the last response on a connection may take.
 const FLUSH_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 
 /// How long what a caller still sends is read and dropped after the last response.
@@ -43,83 +35,115 @@
 /// The most requests of one connection that are handled concurrently.
 const PIPELINED_MAX: usize = 16;
 
-/// The most headers of a request: as many as fit into the largest head that the HTTP library reads.
-const HEADERS_MAX: usize = 16 * 1024;
-
-/// The interim response to a caller that sent `Expect: 100-continue`.
-const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
-
-/// What was read from a caller's connection.
-enum Incoming {
-    /// A request, the codec state for its response, and whether its body was read to its end.
-    Request(Box<forward::PendingRequest>, h1::Codec, bool),
-    /// Bytes that are not a valid request, or a head that did not arrive in time; the connection
-    /// ends with this status.
-    Malformed(http::StatusCode),
-    /// No bytes arrived within the idle timeout.
-    Idle,
-}
-
-/// Reads the requests of a connection.
-struct RequestReader<'a> {
-    io: &'a io::IoBoxed,
-    codec: h1::Codec,
-    vm: &'a vm::Shared,
-    state: &'a ConnectionState,
-    is_finished: bool,
-}
+/// What the head of a response counts for among the bytes that are written and not yet sent.
+const HEAD_BYTES: usize = 512;
 
-/// State that the reading and the writing side of a connection share.
-#[derive(Default)]
-struct ConnectionState {
-    /// Whether a request is being read.
-    is_reading: cell::Cell<bool>,
-    /// Requests whose responses were not written yet.
-    pending_responses: cell::Cell<usize>,
-}
+/// The most bytes of responses that are written and not yet sent before the next one is written.
+const UNSENT_MAX_BYTES: usize = 64 * 1024;
 
 /// A response with what sending it takes.
 struct EncodableResponse {
-    response: http::Response,
+    head: http::Response<()>,
+    body: body::Body,
     /// Encodes the response.
     codec: h1::Codec,
     /// Counts the request as in progress, if it was one.
     in_flight: Option<forward::InFlightGuard>,
 }
 
+/// A response of which the head was written.
+struct OutgoingResponse {
+    body: body::UnsentBody,
+    codec: h1::Codec,
+    /// The bytes that were written since the last ones were sent.
+    written_bytes: usize,
+    _in_flight: Option<forward::InFlightGuard>,
+}
+
 /// What a connection waits for.
 enum Event {
     /// The next response in order is ready.
     Response(EncodableResponse),
-    /// All written responses were sent, or can't be.
+    /// All written bytes were sent, or can't be.
     Sent,
     /// A request, an error or an idle timeout came from the reading side.
-    Incoming(Incoming),
+    Incoming(request_reader::Incoming),
     /// The caller disconnected.
     Disconnected,
+    /// The caller does not read, and the memory that is held for it is needed.
+    Evicted,
+}
+
+/// How a connection ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    /// Its last response was written; the caller learns from it that the connection ends.
+    LastResponse,
+    /// No request was in progress.
+    Idle,
+    /// The caller disconnected; nothing can be sent.
+    Disconnected,
+    /// The memory that is held for responses is needed, and the caller does not read them.
+    Evicted,
 }
 
 /// Serves a caller's connection until its end.
 ///
 /// When the caller disconnects, its requests in progress are dropped, which cancels the attempts at
 /// backend servers.
-pub async fn serve(io: io::IoBoxed, vm: vm::Shared, pool: forward::LocalPool) {
-    let state = ConnectionState::default();
-    let http = http::HttpServiceConfig::new().set_max_headers(HEADERS_MAX);
-    let codec = h1::Codec::new(0, ntex::SharedCfg::new("caller").add(http).build().into());
-    let reader = RequestReader { io: &io, codec, vm: &vm, state: &state, is_finished: false };
-    let mut incoming = pin::pin!(stream::unfold(reader, RequestReader::next));
+pub async fn serve(
+    io: io::IoBoxed,
+    vm: vm::Shared,
+    pool: forward::LocalPool,
+    memory: memory::SharedConnection,
+) {
+    let mut outgoing = OutgoingResponses::default();
+    // `memory` counts the connection until its descriptor is closed.
+    match exchange_all(&io, &vm, &pool, memory.clone(), &mut outgoing).await {
+        End::LastResponse => close_after_last_response(&io, outgoing).await,
+        End::Idle => shut_down(&io).await,
+        End::Disconnected => (),
+        End::Evicted => io.terminate(),
+    }
+}
+
+/// Reads requests and writes responses until the connection ends.
+async fn exchange_all(
+    io: &io::IoBoxed,
+    vm: &vm::Shared,
+    pool: &forward::LocalPool,
+    memory: memory::SharedConnection,
+    outgoing: &mut OutgoingResponses,
+) -> End {
+    let state = request_reader::ConnectionState::new(memory);
+    let reader = request_reader::RequestReader::new(io, vm, &state);
+    let mut incoming = pin::pin!(stream::unfold(reader, request_reader::RequestReader::next));
     let mut disconnected = pin::pin!(io.on_disconnect());
-    let mut responses = stream::FuturesOrdered::new();
-    let mut unsent = Vec::new();
-    let mut accepts_requests = true;
+    let mut evicted = pin::pin!(state.memory.evicted());
+    let mut is_evicted = false;
+    let mut exchange = Exchange {
+        io,
+        vm,
+        state: &state,
+        responses: stream::FuturesOrdered::new(),
+        outgoing,
+        accepts_requests: true,
+    };
     loop {
-        let may_read = accepts_requests && responses.len() < PIPELINED_MAX;
+        let may_read = exchange.accepts_requests && exchange.responses.len() < PIPELINED_MAX;
+        let may_write = exchange.outgoing.has_room();
+        let has_unsent = !exchange.outgoing.is_empty();
         let event = future::poll_fn(|context| {
-            if let task::Poll::Ready(Some(response)) = responses.poll_next_unpin(context) {
-                return task::Poll::Ready(Event::Response(response));
+            is_evicted = is_evicted || evicted.as_mut().poll(context).is_ready();
+            if is_evicted && has_unsent {
+                return task::Poll::Ready(Event::Evicted);
             }
-            if !unsent.is_empty() && io.poll_flush(context, true).is_ready() {
+            if may_write
+                && let task::Poll::Ready(Some(next)) = exchange.responses.poll_next_unpin(context)
+            {
+                return task::Poll::Ready(Event::Response(next));
+            }
+            if has_unsent && io.poll_flush(context, true).is_ready() {
                 return task::Poll::Ready(Event::Sent);
             }
             if may_read && let task::Poll::Ready(next) = incoming.as_mut().poll_next_unpin(context)
@@ -128,32 +152,87 @@
             }
             disconnected.as_mut().poll(context).map(|()| Event::Disconnected)
         });
-        match event.await {
-            Event::Disconnected => return,
-            Event::Sent => unsent.clear(),
-            Event::Incoming(Incoming::Idle) if responses.is_empty() => break,
-            Event::Incoming(Incoming::Idle) => (),
-            Event::Incoming(Incoming::Malformed(status)) => {
-                accepts_requests = false;
-                let codec = h1::Codec::new(0, ntex::Cfg::default());
-                responses.push_back(respond(Work::Malformed(status), codec, &vm, &pool));
+        let end = match event.await {
+            Event::Disconnected => Some(End::Disconnected),
+            Event::Evicted => Some(End::Evicted),
+            Event::Sent => exchange.continue_sending(),
+            Event::Incoming(incoming) => {
+                exchange.handle(incoming, |work, codec| respond(work, codec, vm, pool))
             }
-            Event::Incoming(Incoming::Request(pending, codec, is_body_complete)) => {
-                accepts_requests &= codec.keepalive() && is_body_complete;
-                responses.push_back(respond(Work::Request(pending), codec, &vm, &pool));
+            Event::Response(response) => exchange.send(response),
+        };
+        if let Some(end) = end {
+            return end;
+        }
+    }
+}
+
+/// The requests and responses of a connection.
+struct Exchange<'a, R: Future<Output = EncodableResponse>> {
+    io: &'a io::IoBoxed,
+    vm: &'a vm::Shared,
+    state: &'a request_reader::ConnectionState,
+    /// The responses that were not written yet, in the order of their requests.
+    responses: stream::FuturesOrdered<R>,
+    outgoing: &'a mut OutgoingResponses,
+    accepts_requests: bool,
+}
+
+impl<R: Future<Output = EncodableResponse>> Exchange<'_, R> {
+    /// Handles what was read; returns how the connection ends, if it does.
+    fn handle(
+        &mut self,
+        incoming: request_reader::Incoming,
+        respond: impl FnOnce(Work, h1::Codec) -> R,
+    ) -> Option<End> {
+        let has_work = !self.responses.is_empty() || !self.outgoing.is_empty();
+        match incoming {
+            request_reader::Incoming::Idle if !has_work => return Some(End::Idle),
+            request_reader::Incoming::Idle => (),
+            request_reader::Incoming::Evicted if !has_work => return Some(End::Idle),
+            request_reader::Incoming::Evicted => self.accepts_requests = false,
+            request_reader::Incoming::Malformed(status) => {
+                self.accepts_requests = false;
+                let codec = h1::Codec::new(0, ntex::Cfg::default());
+                self.responses.push_back(respond(Work::Malformed(status), codec));
             }
-            Event::Response(mut response) => {
-                unsent.extend(response.in_flight.take());
-                accepts_requests &= vm.stage() == vm::Stage::Serving || state.is_reading.get();
-                let is_last = responses.is_empty() && !accepts_requests;
-                if !write(&io, response, is_last) || is_last {
-                    break;
-                }
+            request_reader::Incoming::Request(pending, codec, is_complete) => {
+                self.accepts_requests &= codec.keepalive() && is_complete;
+                self.responses.push_back(respond(Work::Request(pending), codec));
             }
         }
-        state.pending_responses.set(responses.len());
+        self.finish_step()
+    }
+
+    /// Begins to send a response; returns how the connection ends, if it does.
+    fn send(&mut self, response: EncodableResponse) -> Option<End> {
+        self.accepts_requests &=
+            self.vm.stage() == vm::Stage::Serving || self.state.is_reading_body.get();
+        let is_last = self.responses.is_empty() && !self.accepts_requests;
+        if !self.outgoing.write(self.io, response, is_last) {
+            // The codec has ended the connection, so no other response can follow.
+            self.accepts_requests = false;
+            self.responses.clear();
+        }
+        self.finish_step()
+    }
+
+    /// Writes what follows the bytes that were sent; returns how the connection ends, if it does.
+    fn continue_sending(&mut self) -> Option<End> {
+        match self.outgoing.write_next(self.io, &self.state.memory) {
+            true => self.finish_step(),
+            false => Some(End::LastResponse),
+        }
+    }
+
+    fn finish_step(&self) -> Option<End> {
+        self.state.pending_responses.set(self.responses.len());
+        self.state.has_unsent.set(!self.outgoing.is_empty());
+        self.state.update_phase();
+        let is_last_written =
+            !self.accepts_requests && self.responses.is_empty() && self.outgoing.is_written();
+        is_last_written.then_some(End::LastResponse)
     }
-    close(&io, unsent).await;
 }
 
 /// What a response is produced for.
@@ -170,53 +249,115 @@
 ) -> EncodableResponse {
     match work {
         Work::Request(pending) => {
-            let forward::ResponseForCaller { response, in_flight } =
+            let forward::ResponseForCaller { response, body, in_flight } =
                 forward::forward(vm, pool, *pending).await;
-            EncodableResponse { response, codec, in_flight: Some(in_flight) }
+            let (head, refusal_body) = response.into_parts();
+            let body = match refusal_body {
+                http_body::ResponseBody::Body(http_body::Body::Bytes(bytes))
+                | http_body::ResponseBody::Other(http_body::Body::Bytes(bytes)) => bytes.into(),
+                _ => body,
+            };
+            EncodableResponse { head, body, codec, in_flight: Some(in_flight) }
         }
         Work::Malformed(status) => {
-            EncodableResponse { response: http::Response::new(status), codec, in_flight: None }
+            let (head, _) = http::Response::new(status).into_parts();
+            EncodableResponse { head, body: body::Body::default(), codec, in_flight: None }
         }
     }
 }
 
-/// Writes a response; returns false if it can't be encoded, or if the codec ends the connection
-/// although more responses were to follow.
-fn write(io: &io::IoBoxed, encodable: EncodableResponse, is_last: bool) -> bool {
-    let EncodableResponse { response, codec, .. } = encodable;
-    let (mut head, body) = response.into_parts();
-    if is_last {
-        head.head_mut().set_connection_type(http::ConnectionType::Close);
+/// The responses of a connection that were written at least in part, in order; all but the last one
+/// were written to their end.
+#[derive(Default)]
+struct OutgoingResponses {
+    responses: Vec<OutgoingResponse>,
+}
+
+impl OutgoingResponses {
+    /// Returns whether all responses were sent to their ends.
+    const fn is_empty(&self) -> bool {
+        self.responses.is_empty()
     }
-    let bytes = match body {
-        body::ResponseBody::Body(body::Body::Bytes(bytes))
-        | body::ResponseBody::Other(body::Body::Bytes(bytes)) => bytes,
-        _ => ntex_util::Bytes::new(),
-    };
-    let size = body::BodySize::Sized(bytes.len() as u64);
-    let encoded =
-        io.encode(h1::Message::Item((head, size)), &codec).and_then(|()| match bytes.is_empty() {
-            true => Ok(()),
-            false => io.encode(h1::Message::Chunk(Some(bytes)), &codec),
-        });
+
+    /// Returns whether all responses were written to their ends.
+    fn is_written(&self) -> bool {
+        self.responses.last().is_none_or(|last| last.body.is_empty())
+    }
+
+    /// Returns whether one more response may be written.
+    fn has_room(&self) -> bool {
+        let written_bytes: usize =
+            self.responses.iter().map(|response| response.written_bytes).sum();
+        self.is_written() && written_bytes < UNSENT_MAX_BYTES
+    }
+
+    /// Writes the head and the first part of a response; returns false if it can't be encoded, or if
+    /// the codec ends the connection although more responses were to follow.
+    fn write(&mut self, io: &io::IoBoxed, encodable: EncodableResponse, is_last: bool) -> bool {
+        let EncodableResponse { mut head, body, codec, in_flight } = encodable;
+        if is_last {
+            head.head_mut().set_connection_type(http::ConnectionType::Close);
+        }
+        let size = http_body::BodySize::Sized(body.len().0);
+        let is_encoded = is_encoded(io.encode(h1::Message::Item((head, size)), &codec));
+        let is_consistent = codec.keepalive() || is_last;
+        let mut response = OutgoingResponse {
+            body: body.into_unsent(),
+            codec,
+            written_bytes: HEAD_BYTES,
+            _in_flight: in_flight,
+        };
+        let is_written = is_encoded && response.write_part(io);
+        self.responses.push(response);
+        is_written && is_consistent
+    }
+
+    /// Releases what was sent and writes the next part; returns false if it can't be encoded.
+    fn write_next(&mut self, io: &io::IoBoxed, memory: &memory::Connection) -> bool {
+        for response in &mut self.responses {
+            memory.record_progress(response.written_bytes);
+            response.body.release(response.written_bytes);
+            response.written_bytes = 0;
+        }
+        self.responses.retain(|response| !response.body.is_empty());
+        self.responses.iter_mut().all(|response| response.write_part(io))
+    }
+}
+
+impl OutgoingResponse {
+    /// Writes the next part of the body, if any; returns false if it can't be encoded.
+    fn write_part(&mut self, io: &io::IoBoxed) -> bool {
+        let Some(part) = self.body.next_segment() else {
+            return true;
+        };
+        self.written_bytes += part.len();
+        is_encoded(io.encode(h1::Message::Chunk(Some(part)), &self.codec))
+    }
+}
+
+fn is_encoded(encoded: Result<(), http::error::EncodeError>) -> bool {
     if let Err(error) = &encoded {
         log::info!("can't encode a response: {error}");
     }
-    encoded.is_ok() && (codec.keepalive() || is_last)
+    encoded.is_ok()
 }
 
-/// Closes a connection after all written bytes were sent; `unsent` is dropped then.
+/// Closes a connection after all written bytes were sent; `outgoing` is dropped then.
 ///
 /// What the caller still sends is read and dropped until it closes the connection, for
 /// [`LINGER_TIMEOUT`] at most. Closing with unread bytes, or before requests that are under way arrive,
 /// would reset the connection, and the caller's system then drops responses that it has not delivered.
-async fn close(io: &io::IoBoxed, unsent: Vec<forward::InFlightGuard>) {
+async fn close_after_last_response(io: &io::IoBoxed, outgoing: OutgoingResponses) {
     match timer::timeout(FLUSH_TIMEOUT, io.flush(true)).await {
         Ok(Ok(())) => drop(timer::timeout(LINGER_TIMEOUT, drop_input(io)).await),
         Ok(Err(error)) => log::debug!("sending the last response to a caller failed: {error}"),
         Err(timer::Elapsed) => log::info!("a caller did not read its last response in time"),
     }
-    drop(unsent);
+    drop(outgoing);
+    shut_down(io).await;
+}
+
+async fn shut_down(io: &io::IoBoxed) {
     if let Ok(Err(error)) = timer::timeout(FLUSH_TIMEOUT, io.shutdown()).await {
         log::debug!("closing a caller's connection failed: {error}");
     }
@@ -225,131 +366,9 @@
 /// Reads and drops what arrives, until the caller closes the connection.
 async fn drop_input(io: &io::IoBoxed) {
     loop {
-        io.with_read_buf(|buffer| buffer.clear());
+        io.with_read_buf(ntex_util::BytesMut::clear);
         if !matches!(io.read_ready().await, Ok(Some(()))) {
             return;
         }
     }
 }
-
-impl RequestReader<'_> {
-    /// Returns what is read next; `None` once the caller has disconnected.
-    async fn next(mut self) -> Option<(Incoming, Self)> {
-        if self.is_finished {
-            return None;
-        }
-        let idle = timer::timeout(IDLE_TIMEOUT, self.first_bytes()).await;
-        match idle {
-            Err(timer::Elapsed) => return Some((Incoming::Idle, self)),
-            Ok(has_bytes) if !has_bytes => return None,
-            Ok(_) => (),
-        }
-        let head = timer::timeout(HEAD_TIMEOUT, self.io.recv(&self.codec)).await;
-        let (request, payload) = match head {
-            Ok(Ok(Some(read))) => read,
-            Ok(Ok(None) | Err(ntex_util::Either::Right(_))) => return None,
-            Ok(Err(ntex_util::Either::Left(error))) => return Some(self.malformed(&error)),
-            Err(timer::Elapsed) => {
-                self.is_finished = true;
-                return Some((Incoming::Malformed(http::StatusCode::REQUEST_TIMEOUT), self));
-            }
-        };
-        let codec = self.codec.clone();
-        self.state.is_reading.set(true);
-        let pending = self.receive(request, payload).await;
-        self.state.is_reading.set(false);
-        Some((Incoming::Request(Box::new(pending), codec, !self.is_finished), self))
-    }
-
-    /// Waits for the first bytes of a request; returns false if the caller disconnects before.
-    async fn first_bytes(&self) -> bool {
-        if !self.io.with_read_buf(|buffer| buffer.is_empty()) {
-            return true;
-        }
-        matches!(self.io.read_ready().await, Ok(Some(())))
-    }
-
-    fn malformed(mut self, error: &http_error::DecodeError) -> (Incoming, Self) {
-        log::info!("a caller sent a malformed request: {error}");
-        self.is_finished = true;
-        let status = match error {
-            http_error::DecodeError::MaxHeaders | http_error::DecodeError::TooLarge(_) => {
-                http::StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE
-            }
-            _ => http::StatusCode::BAD_REQUEST,
-        };
-        (Incoming::Malformed(status), self)
-    }
-
-    /// Reads the body of a request and registers it as in progress.
-    async fn receive(
-        &mut self,
-        request: http::Request,
-        payload: h1::PayloadType,
-    ) -> forward::PendingRequest {
-        let has_length = request.head().headers().contains_key(header::CONTENT_LENGTH);
-        let decoder = match payload {
-            h1::PayloadType::None => None,
-            // The upgrade that the caller asks for is not made, so no bytes belong to it.
-            h1::PayloadType::Stream(_) if !has_length => None,
-            h1::PayloadType::Payload(decoder) | h1::PayloadType::Stream(decoder) => Some(decoder),
-        };
-        if decoder.is_some() && request.head().expect() && self.state.pending_responses.get() == 0 {
-            self.send_continue();
-        }
-        let is_complete = rc::Rc::new(cell::Cell::new(decoder.is_none()));
-        let chunks = Chunks { io: self.io, decoder, is_complete: is_complete.clone() };
-        let chunks = pin::pin!(stream::unfold(chunks, Chunks::next));
-        let pending = forward::begin(self.vm, request.head(), chunks).await;
-        // The rest of an incomplete body can't be distinguished from the next request.
-        self.is_finished = !is_complete.get();
-        pending
-    }
-
-    fn send_continue(&self) {
-        if let Err(error) = self.io.encode_slice(CONTINUE) {
-            log::debug!("can't send 100 Continue to a caller: {error}");
-        }
-    }
-}
-
-/// The body of a request, as a stream of chunks.
-struct Chunks<'a> {
-    io: &'a io::IoBoxed,
-    decoder: Option<h1::PayloadDecoder>,
-    is_complete: rc::Rc<cell::Cell<bool>>,
-}
-
-impl Chunks<'_> {
-    async fn next(mut self) -> Option<(forward::Chunk, Self)> {
-        let decoder = self.decoder.take()?;
-        let error = match self.io.recv(&decoder).await {
-            Ok(Some(h1::PayloadItem::Chunk(bytes))) => {
-                self.decoder = Some(decoder);
-                return Some((Ok(bytes), self));
-            }
-            Ok(Some(h1::PayloadItem::Eof)) => None,
-            Err(ntex_util::Either::Left(error)) if trailers::may_follow(&error) => {
-                reading_error(self.io.recv(&trailers::TrailersDecoder::default()).await)
-            }
-            read => reading_error(read),
-        };
-        if let Some(error) = error {
-            return Some((Err(error), self));
-        }
-        self.is_complete.set(true);
-        None
-    }
-}
-
-/// Returns why nothing was read; `None` if something was.
-fn reading_error<T>(
-    read: Result<Option<T>, ntex_util::Either<http_error::DecodeError, std_io::Error>>,
-) -> Option<String> {
-    match read {
-        Ok(Some(_)) => None,
-        Ok(None) => Some("the caller has gone".to_owned()),
-        Err(ntex_util::Either::Left(error)) => Some(error.to_string()),
-        Err(ntex_util::Either::Right(error)) => Some(error.to_string()),
-    }
-}
--- a/crates/waxwing-vm/src/counters.rs
+++ b/crates/waxwing-vm/src/counters.rs
@@ -118,6 +118,18 @@
         "How long the store has answered all calls, in milliseconds",
         |vm| vm.store_steady().0,
     );
+    gauge("waxwing_buffers_bytes", "Memory held for callers' connections, in bytes", |vm| {
+        vm.memory.held().0
+    });
+    gauge("waxwing_connections", "Connections of callers", |vm| vm.memory.connections() as u64);
+    gauge("waxwing_evicted_connections", "Connections that had to give way so far", |vm| {
+        vm.memory.evictions()
+    });
+    gauge(
+        "waxwing_memory_refusals",
+        "Connections and requests refused so far for lack of memory or descriptors",
+        |vm| vm.memory.refusals(),
+    );
     gauge("waxwing_requests_under_way", "Requests in progress", |vm| {
         vm.in_flight.load(std::sync::atomic::Ordering::Acquire)
     });
--- a/crates/waxwing-vm/src/exchange.rs
+++ b/crates/waxwing-vm/src/exchange.rs
@@ -4,12 +4,12 @@
 //! like a shorter complete one, and an idempotent request can be retried instead.
 
 use std::rc;
+use std::time;
 
 use futures_util::StreamExt;
 use ntex::client;
 use ntex::client::error as client_error;
 use ntex::http;
-use ntex::http::body;
 use ntex::http::header;
 use ntex::util as ntex_util;
 use waxwing_machine::placement;
@@ -21,16 +21,18 @@
 use waxwing_units::size;
 use waxwing_units::time as units_time;
 
-use crate::body_memory;
+use crate::body;
 use crate::connection_pool;
 use crate::http_adapter;
 use crate::leased_server;
+use crate::memory;
 
 /// The largest response body that is buffered, in bytes.
 const RESPONSE_MAX_BYTES: usize = 16 * 1024 * 1024;
 
-/// The memory that a buffer may take for each byte in it, since a full buffer doubles its size.
-const BUFFER_BYTES_PER_BYTE: u64 = 2;
+/// How long a response waits for memory; a server breaks off a response that is not read for some
+/// seconds.
+const RESPONSE_MEMORY_WAIT_MAX: time::Duration = time::Duration::from_secs(2);
 
 /// A request as it is sent to a backend server.
 pub struct Request {
@@ -42,14 +44,14 @@
     pub path: String,
     /// The headers, as the adapter selected them.
     pub headers: Vec<http_adapter::Header>,
-    /// The whole body; empty if there is none.
-    pub body: ntex_util::Bytes,
+    /// The segments of the whole body; none if it is empty.
+    pub body: rc::Rc<[ntex_util::Bytes]>,
     /// Whether the request may run more than once.
     pub repeatability: attempt::Repeatability,
     /// When the response is due.
     pub deadline: units_time::MonoInstant,
     /// The memory for the body of the response.
-    pub response_memory: body_memory::Reservation,
+    pub response_memory: memory::Reservation,
 }
 
 /// A complete response.
@@ -58,10 +60,8 @@
     pub status: http::StatusCode,
     /// The headers that are forwarded to the caller.
     pub headers: Vec<http_adapter::Header>,
-    /// The whole body.
-    pub body: ntex_util::Bytes,
-    /// The memory that the body takes.
-    pub memory: body_memory::Reservation,
+    /// The whole body, with the memory that it takes.
+    pub body: body::Body,
     /// The adapter's classification of the response.
     pub reading: http_adapter::Reading,
 }
@@ -89,6 +89,7 @@
             attempt::Fault::NoSlot
             | attempt::Fault::CallerDisconnected
             | attempt::Fault::ServerUnavailable
+            | attempt::Fault::MemoryFull
             | attempt::Fault::UploadInterrupted => server_health::AttemptOutcome::NotAttributable,
         }
     }
@@ -156,7 +157,7 @@
     let is_head = request.method == http::Method::HEAD;
     let lease = server.lease();
     let request_id = request.request_id.clone();
-    let (response, mut memory) = send(connection, lease, request).await.map_err(|error| {
+    let (response, memory) = send(connection, lease, request).await.map_err(|error| {
         log::debug!("no response from {} to {request_id}: {error}", lease.server);
         let state = connection.state();
         match state == attempt::State::Connecting && !server.accepts_requests() {
@@ -178,10 +179,11 @@
         malformed
     })?;
     let headers = adapter.response_headers(response.headers());
-    let body = read_body(&response, length, &mut memory).await.map_err(|error| {
+    let body = read_body(&response, length, memory).await.map_err(|error| {
         log::info!("the response of {} to {request_id} can't be read: {error}", lease.server);
         match error {
-            BodyError::TooLarge | BodyError::MemoryFull => malformed,
+            BodyError::TooLarge => malformed,
+            BodyError::MemoryFull => Failure { fault: attempt::Fault::MemoryFull, ..malformed },
             BodyError::EndedEarly(_) | BodyError::Truncated => {
                 Failure { fault: attempt::Fault::Disconnected, ..malformed }
             }
@@ -190,7 +192,7 @@
     let is_refusal_valid = !connection.is_response_premature();
     match reading.verdict {
         http_adapter::Verdict::Answered | http_adapter::Verdict::AnsweredFailure => {
-            Ok(Response { status, headers, body, memory, reading })
+            Ok(Response { status, headers, body, reading })
         }
         http_adapter::Verdict::NotRun | http_adapter::Verdict::OtherServer if is_refusal_valid => {
             let fault = attempt::Fault::DeclaredNotRun;
@@ -219,7 +221,7 @@
     connection: &connection_pool::Connection,
     lease: &placement::Lease,
     request: Request,
-) -> Result<(client::ClientResponse, body_memory::Reservation), client_error::ClientError> {
+) -> Result<(client::ClientResponse, memory::Reservation), client_error::ClientError> {
     let url = format!("http://{}{}", lease.address, request.path);
     let has_body = !matches!(request.method, http::Method::GET | http::Method::HEAD)
         || !request.body.is_empty();
@@ -228,7 +230,7 @@
         builder = builder.header(name, value);
     }
     let response = match has_body {
-        true => builder.send_body(body::Body::Bytes(request.body)).await?,
+        true => builder.send_body(body::client_body(&request.body)).await?,
         false => builder.send().await?,
     };
     Ok((response, request.response_memory))
@@ -272,28 +274,29 @@
 async fn read_body(
     response: &client::ClientResponse,
     length: body_length::BodyLength,
-    memory: &mut body_memory::Reservation,
-) -> Result<ntex_util::Bytes, BodyError> {
+    memory: memory::Reservation,
+) -> Result<body::Body, BodyError> {
     if let body_length::BodyLength::Exact(size::Bytes(len_bytes)) = length
         && len_bytes > RESPONSE_MAX_BYTES as u64
     {
         return Err(BodyError::TooLarge);
     }
     let mut payload = response.take_payload();
-    let mut contents = ntex_util::BytesMut::new();
+    let mut buffer = body::BodyBuffer::new(memory, RESPONSE_MEMORY_WAIT_MAX);
+    if let body_length::BodyLength::Exact(len) = length {
+        // Responses that are read side by side could otherwise all stop midway.
+        buffer.reserve(len).await.map_err(|memory::Full| BodyError::MemoryFull)?;
+    }
     while let Some(chunk) = payload.next().await {
         let chunk = chunk.map_err(BodyError::EndedEarly)?;
-        if !memory.grow(size::Bytes(BUFFER_BYTES_PER_BYTE * chunk.len() as u64)) {
-            return Err(BodyError::MemoryFull);
-        }
-        if contents.len() + chunk.len() > RESPONSE_MAX_BYTES {
+        if buffer.len().0 + chunk.len() as u64 > RESPONSE_MAX_BYTES as u64 {
             return Err(BodyError::TooLarge);
         }
-        contents.extend_from_slice(&chunk);
+        buffer.push(&chunk).await.map_err(|memory::Full| BodyError::MemoryFull)?;
     }
     // The HTTP library reads no body after some heads, and ends one of HTTP/1.0 with its connection.
-    if !length.is_complete(size::Bytes(contents.len() as u64)) {
+    if !length.is_complete(buffer.len()) {
         return Err(BodyError::Truncated);
     }
-    Ok(contents.freeze())
+    Ok(buffer.finish())
 }
--- a/crates/waxwing-vm/src/forward.rs
+++ b/crates/waxwing-vm/src/forward.rs
@@ -8,6 +8,7 @@
 use ntex::http;
 use ntex::util as ntex_util;
 use ntex::web;
+use waxwing_machine::memory_budget;
 use waxwing_machine::placement;
 use waxwing_process::clock;
 use waxwing_request::attempt;
@@ -16,9 +17,11 @@
 use waxwing_units::rendezvous;
 
 use crate::access_log;
+use crate::body;
 use crate::connection_pool;
 use crate::exchange;
 use crate::http_adapter;
+use crate::memory;
 use crate::refusal;
 use crate::request_admission;
 use crate::service_pools;
@@ -58,27 +61,34 @@
     request_id: String,
     log_entry: access_log::AccessLogEntry,
     received: request_admission::ReceivedRequest,
+    /// The memory that the head takes.
+    memory: memory::Reservation,
 }
 
-/// Registers a request as in progress and reads its body.
+/// Registers a request as in progress and reads its body; `memory` is that of its head.
 pub async fn begin(
     vm: &vm::Shared,
-    head: &http::RequestHead,
+    request: http::Request,
     body: impl stream::Stream<Item = Chunk> + Unpin,
+    memory: memory::Reservation,
 ) -> PendingRequest {
     let in_flight = InFlightGuard::begin(vm);
     vm.arrival_rate.record(clock::now());
-    let incoming = vm.adapter.parse_request(head);
+    let incoming = vm.adapter.parse_request(request.head());
     let request_id = incoming.request_id.clone();
     let mut log_entry = access_log::AccessLogEntry::begin(vm, &incoming);
-    let received = request_admission::receive(vm, head, body, incoming, &mut log_entry).await;
-    PendingRequest { in_flight, request_id, log_entry, received }
+    let connection = memory.connection();
+    let received =
+        request_admission::receive(vm, connection, request, incoming, body, &mut log_entry).await;
+    PendingRequest { in_flight, request_id, log_entry, received, memory }
 }
 
 /// A response for a caller.
 pub struct ResponseForCaller {
-    /// The response or the refusal.
+    /// The response of a backend server without its body, or the refusal.
     pub response: web::HttpResponse,
+    /// The body of a backend server's response; empty with a refusal, which has its own.
+    pub body: body::Body,
     /// Counts the request as in progress; held until the response was sent.
     pub in_flight: InFlightGuard,
 }
@@ -89,13 +99,14 @@
     pool: &LocalPool,
     pending: PendingRequest,
 ) -> ResponseForCaller {
-    let PendingRequest { in_flight, request_id, mut log_entry, received } = pending;
+    let PendingRequest { in_flight, request_id, mut log_entry, received, memory } = pending;
     let allows_denial = received.allows_denial();
+    let connection = memory.connection();
     let result = match request_admission::admit(vm, received, &mut log_entry).await {
-        Ok(request) => send_with_retries(vm, pool, &request, &mut log_entry).await,
+        Ok(request) => send_with_retries(vm, pool, connection, &request, &mut log_entry).await,
         Err(refusal) => Err(refusal),
     };
-    let response = match result {
+    let (response, body) = match result {
         Ok(response) => {
             log_entry.finish(access_log::Outcome::Answered, response.status.as_u16(), "");
             build_response(response)
@@ -108,18 +119,18 @@
             let response = vm.adapter.refusal_response(&request_id, &refusal);
             let reason = refusal.to_string();
             log_entry.finish(access_log::Outcome::Refused, response.status().as_u16(), &reason);
-            response
+            (response, body::Body::default())
         }
     };
-    ResponseForCaller { response, in_flight }
+    ResponseForCaller { response, body, in_flight }
 }
 
-fn build_response(response: exchange::Response) -> web::HttpResponse {
+fn build_response(response: exchange::Response) -> (web::HttpResponse, body::Body) {
     let mut builder = web::HttpResponse::build(response.status);
     for (name, value) in response.headers {
         builder.header(name, value);
     }
-    builder.body(response.body)
+    (builder.finish(), response.body)
 }
 
 /// The attempts of a request so far.
@@ -137,6 +148,7 @@
 async fn send_with_retries(
     vm: &vm::Shared,
     pool: &LocalPool,
+    connection: &memory::SharedConnection,
     request: &request_admission::AdmittedRequest,
     log_entry: &mut access_log::AccessLogEntry,
 ) -> refusal::Result<exchange::Response> {
@@ -157,7 +169,7 @@
             vm.pools.deposit_retry(&request.service, vm.retry_limit());
         }
         prior.servers.push(slot.lease().server.clone());
-        let result = send(vm, pool, request, &mut slot).await;
+        let result = send(vm, pool, connection, request, &mut slot).await;
         record_attempt(log_entry, slot.lease(), &result);
         let failure = match result {
             Ok(response) if !should_retry_response(vm, request, &response, &prior) => {
@@ -277,6 +289,7 @@
 async fn send(
     vm: &vm::Shared,
     pool: &LocalPool,
+    connection: &memory::SharedConnection,
     request: &request_admission::AdmittedRequest,
     slot: &mut service_pools::Slot,
 ) -> Result<exchange::Response, exchange::Failure> {
@@ -289,10 +302,10 @@
         method: request.method.clone(),
         path: request.incoming.path.clone(),
         headers: vm.adapter.upstream_headers(&request.headers, &context),
-        body: request.body.bytes(),
+        body: request.body.segments(),
         repeatability: request.route.repeatability,
         deadline: request.deadline,
-        response_memory: vm.reserve_body_memory(),
+        response_memory: connection.reservation(memory_budget::Purpose::Response),
     };
     let adapter = vm.adapter.as_ref();
     let result = exchange::exchange(pool, adapter, server, upstream_request, &vm.shutdown).await;
--- a/crates/waxwing-vm/src/lib.rs
+++ b/crates/waxwing-vm/src/lib.rs
@@ -15,7 +15,11 @@
 //! * [`request_admission`]: reads a request's body, authenticates the caller and charges its
 //!   organisation.
 //! * [`refusal`]: the errors that a caller can get instead of a backend server's response.
-//! * [`body_memory`]: bounds the memory for the bodies of requests and responses.
+//! * [`memory`]: the memory held for callers, and which connection gives way.
+//! * [`body`]: bodies in memory, in segments.
+//! * [`request_reader`]: reads requests from a caller's connection.
+//! * [`head_decoder`]: reads the heads of requests and counts their memory.
+//! * [`response_guard`]: watches connections to servers for bytes that belong to no request.
 //! * [`exchange`]: sends one request to a backend server and reads the response.
 //! * [`connection_pool`]: idle connections to backend servers, for reuse.
 //! * [`leased_server`]: the server of an attempt, and what its responses say about it.
@@ -37,7 +41,7 @@
 pub mod access_log;
 pub mod account;
 pub mod arrival_rate;
-pub mod body_memory;
+pub mod body;
 pub mod caller_connection;
 pub mod connection_pool;
 pub mod contracts;
@@ -45,14 +49,17 @@
 pub mod directory;
 pub mod exchange;
 pub mod forward;
+pub mod head_decoder;
 pub mod http_adapter;
 pub mod leased_server;
+pub mod memory;
 pub mod peers;
 pub mod reachable_peers;
 pub mod reconcile;
 pub mod refusal;
 pub mod registration;
 pub mod request_admission;
+pub mod request_reader;
 pub mod response_guard;
 pub mod run;
 pub mod server_events;
--- a/crates/waxwing-vm/src/request_admission.rs
+++ b/crates/waxwing-vm/src/request_admission.rs
@@ -1,6 +1,7 @@
 //! Decides whether a request may be forwarded: reads its body, finds its route, authenticates the
 //! caller and charges its organisation.
 
+use std::mem;
 use std::sync;
 use std::time;
 
@@ -8,7 +9,7 @@
 use futures_util::stream;
 use ntex::http;
 use ntex::http::header;
-use ntex::util as ntex_util;
+use waxwing_machine::memory_budget;
 use waxwing_process::clock;
 use waxwing_request::shutdown;
 use waxwing_route::route;
@@ -19,10 +20,11 @@
 use waxwing_units::time as units_time;
 
 use crate::access_log;
-use crate::body_memory;
+use crate::body;
 use crate::contracts;
 use crate::forward;
 use crate::http_adapter;
+use crate::memory;
 use crate::refusal;
 use crate::vm;
 
@@ -47,7 +49,7 @@
     /// When the response is due.
     pub deadline: units_time::MonoInstant,
     /// The buffered body, which every attempt sends.
-    pub body: BufferedBody,
+    pub body: body::Body,
 }
 
 impl AdmittedRequest {
@@ -76,20 +78,6 @@
     }
 }
 
-/// A request body in memory.
-pub struct BufferedBody {
-    bytes: ntex_util::Bytes,
-    /// The memory that the body takes, returned on drop.
-    _memory: body_memory::Reservation,
-}
-
-impl BufferedBody {
-    /// Returns the whole body; the copy shares the memory.
-    pub fn bytes(&self) -> ntex_util::Bytes {
-        self.bytes.clone()
-    }
-}
-
 /// A request with its body, before the checks.
 pub struct ReceivedRequest {
     incoming: http_adapter::IncomingRequest,
@@ -99,7 +87,7 @@
     allows_denial: bool,
     route: Option<route::Route>,
     deadline: units_time::MonoInstant,
-    body: refusal::Result<BufferedBody>,
+    body: refusal::Result<body::Body>,
 }
 
 impl ReceivedRequest {
@@ -116,9 +104,10 @@
 /// connection with unread bytes may be lost.
 pub async fn receive(
     vm: &vm::Shared,
-    head: &http::RequestHead,
-    body: impl stream::Stream<Item = forward::Chunk> + Unpin,
+    connection: &memory::SharedConnection,
+    mut request: http::Request,
     incoming: http_adapter::IncomingRequest,
+    body: impl stream::Stream<Item = forward::Chunk> + Unpin,
     log_entry: &mut access_log::AccessLogEntry,
 ) -> ReceivedRequest {
     let received_at = clock::now();
@@ -136,8 +125,10 @@
         (None, requested) => requested.unwrap_or(UNROUTED_TIMEOUT),
     };
     let deadline = received_at.after(timeout);
-    let body = read_body(vm, body, deadline, table.as_deref()).await;
-    let (method, headers) = (head.method.clone(), head.headers.clone());
+    let method = request.head().method.clone();
+    let headers = mem::take(&mut request.head_mut().headers);
+    drop(request);
+    let body = read_body(vm, connection, body, deadline, table.as_deref()).await;
     ReceivedRequest { incoming, method, headers, table, allows_denial, route, deadline, body }
 }
 
@@ -188,6 +179,9 @@
     Ok(request)
 }
 
+/// How long the body of a request waits for memory.
+const BODY_MEMORY_WAIT_MAX: time::Duration = time::Duration::from_secs(1);
+
 /// The timeout of a request that no route matches and that does not state one.
 const UNROUTED_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 
@@ -274,38 +268,38 @@
 /// Reads the whole body, up to the deadline and the configured size limit.
 async fn read_body(
     vm: &vm::Shared,
+    connection: &memory::SharedConnection,
     body: impl stream::Stream<Item = forward::Chunk> + Unpin,
     deadline: units_time::MonoInstant,
     table: Option<&table::Table>,
-) -> refusal::Result<BufferedBody> {
-    let max_bytes = table.map_or(u64::MAX, |table| table.limits().body_max_bytes.0);
-    let reading = read_chunks(vm, body, max_bytes);
-    let read = vm.shutdown.timeout(deadline, reading).await;
-    read.unwrap_or_else(|_| match vm.shutdown.are_responses_due() {
-        true => Err(refusal::Refusal::ShuttingDown),
-        false => Err(refusal::Refusal::BodyTimeout),
-    })
+) -> refusal::Result<body::Body> {
+    let max = table.map_or(size::Bytes(u64::MAX), |table| table.limits().body_max_bytes);
+    let reading = connection.unless_evicted(read_chunks(connection, body, max));
+    match vm.shutdown.timeout(deadline, reading).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(memory::Full)) => Err(refusal::Refusal::BodyMemoryFull),
+        Err(_) if vm.shutdown.are_responses_due() => Err(refusal::Refusal::ShuttingDown),
+        Err(_) => Err(refusal::Refusal::BodyTimeout),
+    }
 }
 
 async fn read_chunks(
-    vm: &vm::Shared,
+    connection: &memory::SharedConnection,
     mut body: impl stream::Stream<Item = forward::Chunk> + Unpin,
-    max_bytes: u64,
-) -> refusal::Result<BufferedBody> {
-    let mut reservation = vm.reserve_body_memory();
-    let mut contents = ntex_util::BytesMut::new();
+    max: size::Bytes,
+) -> refusal::Result<body::Body> {
+    let reservation = connection.reservation(memory_budget::Purpose::RequestBody);
+    let mut buffer = body::BodyBuffer::new(reservation, BODY_MEMORY_WAIT_MAX);
     while let Some(chunk) = body.next().await {
         let chunk = chunk.map_err(|error| {
             log::debug!("a request body ended early: {error}");
             refusal::Refusal::BodyIncomplete
         })?;
-        if !reservation.grow(size::Bytes(chunk.len() as u64)) {
-            return Err(refusal::Refusal::BodyMemoryFull);
-        }
-        if reservation.reserved().0 > max_bytes {
+        connection.record_progress(chunk.len());
+        if buffer.len().0 + chunk.len() as u64 > max.0 {
             return Err(refusal::Refusal::BodyTooLarge);
         }
-        contents.extend_from_slice(&chunk);
+        buffer.push(&chunk).await.map_err(|memory::Full| refusal::Refusal::BodyMemoryFull)?;
     }
-    Ok(BufferedBody { bytes: contents.freeze(), _memory: reservation })
+    Ok(buffer.finish())
 }
--- a/crates/waxwing-vm/src/run.rs
+++ b/crates/waxwing-vm/src/run.rs
@@ -164,7 +164,11 @@
         .bind("entry", address, async move |_| {
             let (vm, pool) = (shared.clone(), forward::LocalPool::default());
             service::fn_service(async move |io: io::Io| {
-                caller_connection::serve(io.boxed(), vm.clone(), pool.clone()).await;
+                let peer = io.query::<io::types::PeerAddr>().as_ref().map(|peer| peer.0.ip());
+                let address = peer.unwrap_or(net::Ipv4Addr::UNSPECIFIED.into());
+                if let Ok(memory) = vm.memory.connect(address) {
+                    caller_connection::serve(io.boxed(), vm.clone(), pool.clone(), memory).await;
+                }
                 Ok::<_, convert::Infallible>(())
             })
         })
--- a/crates/waxwing-vm/src/settings.rs
+++ b/crates/waxwing-vm/src/settings.rs
@@ -5,7 +5,9 @@
 use serde::Deserialize;
 use serde_with::DisplayFromStr;
 use serde_with::serde_as;
+use waxwing_machine::memory_budget;
 use waxwing_machine::placement;
+use waxwing_process::descriptors;
 use waxwing_process::settings;
 use waxwing_units::bandwidth;
 use waxwing_units::id;
@@ -14,6 +16,9 @@
 use waxwing_units::size;
 use waxwing_units::time as units_time;
 
+/// The least memory with which a process can serve callers.
+const MEMORY_MIN: size::Bytes = size::Bytes(48 * 1024 * 1024);
+
 /// A failure domain and its region.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -53,6 +58,13 @@
     /// The memory that the process may use.
     #[serde_as(as = "DisplayFromStr")]
     pub memory_max: size::Bytes,
+    /// The descriptors that the process may open; the process's own limit without it.
+    pub descriptors_max: Option<u64>,
+    /// The memory that may be held for callers' connections; a part of `memory_max` without it.
+    #[serde_as(as = "Option<DisplayFromStr>")]
+    pub buffers_max: Option<size::Bytes>,
+    /// The connections of callers; half of the descriptors without it.
+    pub connections_max: Option<usize>,
     /// The bandwidth of this VM's link, by which directories choose among VMs; without it the link
     /// counts as the widest.
     #[serde_as(as = "Option<DisplayFromStr>")]
@@ -103,6 +115,9 @@
             admin_address: None,
             workers: 1,
             memory_max: size::Bytes(256 * 1024 * 1024),
+            descriptors_max: None,
+            buffers_max: None,
+            connections_max: None,
             link_bandwidth: None,
             withdrawal_max: None,
             apply_max: units_time::Millis(2_500),
@@ -157,6 +172,21 @@
         let workers = "must be between 1 and 64";
         errors.require((1..=64).contains(&self.workers), "workers", workers);
         errors.require(self.homes > 0, "homes", "must be at least 1");
+        errors.require(
+            self.memory_max >= MEMORY_MIN,
+            "memory_max",
+            "must be at least 48MiB, of which the process itself takes 32MiB",
+        );
+        errors.require(
+            self.buffers_max.is_none_or(|max| max <= self.memory_max),
+            "buffers_max",
+            "must not exceed memory_max",
+        );
+        errors.require(
+            self.connections_max.is_none_or(|max| max > 0),
+            "connections_max",
+            "must be at least 1",
+        );
         let names_own = self
             .failure_domain
             .as_ref()
@@ -190,6 +220,17 @@
         }
     }
 
+    /// Returns the limits of the memory that is held for callers.
+    pub fn memory_budget(&self) -> memory_budget::Options {
+        let settings = &self.settings;
+        let descriptors_max = settings.descriptors_max.unwrap_or_else(descriptors::limit);
+        let by_limits = memory_budget::Options::of(settings.memory_max, descriptors_max);
+        memory_budget::Options {
+            total: settings.buffers_max.unwrap_or(by_limits.total),
+            connections_max: settings.connections_max.unwrap_or(by_limits.connections_max),
+        }
+    }
+
     /// Returns whether a running process can change to `other` without a restart.
     pub fn allows_change_to(&self, other: &Self) -> bool {
         let fixed = |of: &Self| {
--- a/crates/waxwing-vm/src/vm.rs
+++ b/crates/waxwing-vm/src/vm.rs
@@ -18,14 +18,13 @@
 use waxwing_route::table;
 use waxwing_timeline::stamp;
 use waxwing_units::id;
-use waxwing_units::size;
 use waxwing_units::time as units_time;
 
 use crate::arrival_rate;
-use crate::body_memory;
 use crate::contracts;
 use crate::counters;
 use crate::http_adapter;
+use crate::memory;
 use crate::service_pools;
 use crate::settings;
 use crate::store_replica;
@@ -40,8 +39,8 @@
 /// The most access log lines per second.
 const REQUEST_LOG_LINES_MAX_PER_S: u32 = 100;
 
-/// The part of the memory limit that the bodies of requests and responses may take, as a divisor.
-const BODY_MEMORY_DIVISOR: u64 = 4;
+/// The most log lines per second about malformed requests.
+const MALFORMED_LOG_LINES_MAX_PER_S: u32 = 5;
 
 /// The configuration in force, and when it was last confirmed.
 #[derive(Debug, Clone, Default)]
@@ -149,8 +148,9 @@
     pub arrival_rate: arrival_rate::ArrivalRate,
     /// Requests whose responses have not ended.
     pub in_flight: atomic::AtomicU64,
-    /// The memory for the bodies of requests and responses.
-    pub body_memory: sync::Arc<body_memory::BodyMemory>,
+    /// The memory held for callers' connections.
+    pub memory: sync::Arc<memory::Memory>,
+    malformed_log_limiter: log_limiter::LogLimiter,
     /// When this VM's process ends, once the signal has come.
     pub shutdown: shutdown::Shutdown,
     stage: atomic::AtomicU8,
@@ -194,7 +194,8 @@
             published_ready: sync::Arc::default(),
             arrival_rate: arrival_rate::ArrivalRate::default(),
             in_flight: atomic::AtomicU64::new(0),
-            body_memory: sync::Arc::default(),
+            memory: sync::Arc::new(memory::Memory::new(settings.memory_budget())),
+            malformed_log_limiter: log_limiter::LogLimiter::new(MALFORMED_LOG_LINES_MAX_PER_S),
             shutdown: shutdown::Shutdown::default(),
             stage: atomic::AtomicU8::new(Stage::Serving as u8),
             last_store_failure_at: Mutex::new(clock::now()),
@@ -216,6 +217,7 @@
             true if **current == settings => log::info!("settings reloaded without changes"),
             true => {
                 log::info!("new settings are in effect");
+                self.memory.set_options(settings.memory_budget());
                 *current = sync::Arc::new(settings);
             }
             false => log::warn!("the new settings need a restart and are not applied"),
@@ -274,10 +276,12 @@
         (limit, self.membership.lock().len())
     }
 
-    /// Returns an empty reservation of memory for a body.
-    pub fn reserve_body_memory(&self) -> body_memory::Reservation {
-        let max = self.settings().settings.memory_max.0 / BODY_MEMORY_DIVISOR;
-        self.body_memory.reservation(size::Bytes(max))
+    /// Logs that a caller sent something that is not a valid request.
+    pub fn log_malformed(&self, error: &dyn std::fmt::Display) {
+        let admitted = self.malformed_log_limiter.admit(clock::now(), log_limiter::Kind::Failure);
+        if let Some(left_out) = admitted {
+            log::info!("a caller sent a malformed request: {error}; {left_out} lines left out");
+        }
     }
 
     /// Records that a call to the store failed now.
