--- a/crates/waxwing-keeper/src/peers.rs
+++ b/crates/waxwing-keeper/src/peers.rs
@@ -48,7 +48,8 @@
         peer::Body::MemberHeartbeat(_)
         | peer::Body::LoanRequest(_)
         | peer::Body::Loan(_)
-        | peer::Body::MemberLink(_) => {
+        | peer::Body::MemberLink(_)
+        | peer::Body::RegionDigest(_) => {
             log::debug!("dropped a datagram of a waxwing-vm machine");
             keeper.count_malformed();
         }
--- a/crates/waxwing-machine/src/lib.rs
+++ b/crates/waxwing-machine/src/lib.rs
@@ -14,6 +14,7 @@
 //! `waxwing-vm` knows the backend servers from their registrations in the store and uses:
 //!
 //! * [`membership`]: fleet membership by the store, and when a machine may hold shares.
+//! * [`region_digest`]: the heartbeats of a region in one message, for large fleets.
 //! * [`server_registration`]: registration of a backend server in the store.
 //! * [`server_list`]: versioned list of all registered backend servers, for replication by changes.
 //! * [`entry_choice`]: the entry VMs that a directory names to callers, by their links.
@@ -38,6 +39,7 @@
 pub mod placement;
 pub mod pool;
 mod pooled_server;
+pub mod region_digest;
 pub mod retry_after;
 pub mod server_health;
 pub mod server_list;
--- a/crates/waxwing-machine/src/membership.rs
+++ b/crates/waxwing-machine/src/membership.rs
@@ -17,6 +17,7 @@
 use waxwing_units::time as units_time;
 
 use crate::entry_vm;
+use crate::region_digest;
 
 /// How long after its last heartbeat a machine counts as reachable.
 pub const SILENCE_MAX: time::Duration = time::Duration::from_millis(1_600);
@@ -89,6 +90,8 @@
 struct ReceivedHeartbeat {
     heartbeat: Heartbeat,
     received_at: units_time::MonoInstant,
+    /// How long the machine counts as reachable without another one.
+    silence_max: time::Duration,
     /// The bandwidth of the machine's link; `None` until it has reported one.
     link_bandwidth: Option<bandwidth::Bandwidth>,
 }
@@ -177,6 +180,17 @@
     ///
     /// Returns whether the machine was unreachable before or has changed its phase.
     pub fn record_heartbeat(&mut self, now: units_time::MonoInstant, heartbeat: Heartbeat) -> bool {
+        self.record_heartbeat_of(now, now, SILENCE_MAX, heartbeat)
+    }
+
+    /// Stores a heartbeat that arrived, here or at a relay, at `received_at`.
+    fn record_heartbeat_of(
+        &mut self,
+        now: units_time::MonoInstant,
+        received_at: units_time::MonoInstant,
+        silence_max: time::Duration,
+        heartbeat: Heartbeat,
+    ) -> bool {
         if heartbeat.about.vm == self.local_vm {
             return false;
         }
@@ -186,18 +200,95 @@
                 let is_new =
                     !received.is_reachable(now) || received.heartbeat.phase != heartbeat.phase;
                 received.heartbeat = heartbeat;
-                received.received_at = now;
+                received.received_at = received_at;
+                received.silence_max = silence_max;
                 is_new
             }
             Err(at) => {
                 let received =
-                    ReceivedHeartbeat { heartbeat, received_at: now, link_bandwidth: None };
+                    ReceivedHeartbeat { heartbeat, received_at, silence_max, link_bandwidth: None };
                 self.heartbeats.insert(at, received);
                 true
             }
         }
     }
 
+    /// Returns the entries of a digest for the other machines that are reachable and that
+    /// `is_included` accepts.
+    pub fn digest_entries(
+        &self,
+        now: units_time::MonoInstant,
+        is_included: impl Fn(&MachineInfo) -> bool,
+    ) -> Vec<region_digest::Entry> {
+        let reachable = self.heartbeats.iter().filter(|received| received.is_reachable(now));
+        reachable
+            .filter(|received| is_included(&received.heartbeat.about))
+            .map(|received| received.digest_entry(now))
+            .collect()
+    }
+
+    /// Stores the heartbeats of a digest; those of machines that the member list does not name yet,
+    /// and older ones than those known, are ignored.
+    ///
+    /// Returns the machines that were unreachable before or have changed their phases.
+    pub fn apply_digest(
+        &mut self,
+        now: units_time::MonoInstant,
+        entries: &[region_digest::Entry],
+    ) -> Vec<id::VmId> {
+        let mut by_key: Vec<(region_digest::MachineKey, usize)> = self
+            .member_list
+            .members
+            .iter()
+            .enumerate()
+            .map(|(at, member)| (region_digest::MachineKey::of(&member.about), at))
+            .collect();
+        by_key.sort();
+        let mut changed = Vec::new();
+        for entry in entries {
+            let Ok(at) = by_key.binary_search_by_key(&entry.machine, |(key, _)| *key) else {
+                continue;
+            };
+            let about = self.member_list.members[by_key[at].1].about.clone();
+            let vm = about.vm.clone();
+            if self.apply_entry(now, about, entry) {
+                changed.push(vm);
+            }
+        }
+        changed
+    }
+
+    fn apply_entry(
+        &mut self,
+        now: units_time::MonoInstant,
+        about: MachineInfo,
+        entry: &region_digest::Entry,
+    ) -> bool {
+        let vm = about.vm.clone();
+        let received_at = now.before(time::Duration::from_millis(u64::from(entry.age_ms)));
+        let is_outdated = self.find(&vm).is_ok_and(|at| {
+            let known = &self.heartbeats[at];
+            known.heartbeat.about.started == about.started && known.received_at >= received_at
+        });
+        if is_outdated {
+            return false;
+        }
+        let heartbeat = Heartbeat {
+            about,
+            revision: entry.revision,
+            phase: entry.phase,
+            store_steady_ms: entry.store_steady_ms,
+            reaches_store: entry.reaches_store,
+            requests_per_s: entry.requests_per_s,
+        };
+        let silence_max = region_digest::SILENCE_MAX;
+        let is_new = self.record_heartbeat_of(now, received_at, silence_max, heartbeat);
+        if let Some(bandwidth) = entry.link_bandwidth {
+            self.record_link_bandwidth(&vm, bandwidth);
+        }
+        is_new
+    }
+
     fn find(&self, vm: &id::VmId) -> Result<usize, usize> {
         self.heartbeats.binary_search_by(|received| received.heartbeat.about.vm.cmp(vm))
     }
@@ -322,23 +413,66 @@
         reachable.any(|received| steady_since(received) < then && then < received.received_at)
     }
 
-    /// Returns where heartbeats are sent: to all members and all other reachable machines.
-    pub fn heartbeat_targets(&self, now: units_time::MonoInstant) -> Vec<net::SocketAddr> {
-        let members = self.member_list.members.iter().map(|member| &member.about);
-        let received = self.heartbeats.iter().filter(|received| received.is_reachable(now));
-        let mut targets: Vec<net::SocketAddr> = members
-            .chain(received.map(|received| &received.heartbeat.about))
-            .filter(|info| info.vm != self.local_vm)
+    /// Returns where heartbeats are sent: to all members and all other reachable machines that
+    /// `is_target` accepts.
+    pub fn heartbeat_targets(
+        &self,
+        now: units_time::MonoInstant,
+        is_target: impl Fn(&MachineInfo) -> bool,
+    ) -> Vec<net::SocketAddr> {
+        let mut targets: Vec<net::SocketAddr> = self
+            .known_machines(now)
+            .filter(|info| is_target(info))
             .map(|info| info.peer_address)
             .collect();
         targets.sort();
         targets.dedup();
         targets
     }
+
+    /// Returns the other machines that are members or reachable; one that is both comes twice.
+    fn known_machines(&self, now: units_time::MonoInstant) -> impl Iterator<Item = &MachineInfo> {
+        let members = self.member_list.members.iter().map(|member| &member.about);
+        let received = self.heartbeats.iter().filter(move |received| received.is_reachable(now));
+        members
+            .chain(received.map(|received| &received.heartbeat.about))
+            .filter(|info| info.vm != self.local_vm)
+    }
+
+    /// Returns the machines that relay for the region that `is_in_region` accepts, by the reachable
+    /// ones, or by the members if none of them is reachable.
+    pub fn relays_of(
+        &self,
+        now: units_time::MonoInstant,
+        is_in_region: impl Fn(&MachineInfo) -> bool,
+    ) -> Vec<MachineInfo> {
+        let live = self.live_peers(now).map(|(info, _)| info).filter(|info| is_in_region(info));
+        let mut relays = region_digest::relays(live);
+        if relays.is_empty() {
+            let members = self.member_list.members.iter().map(|member| &member.about);
+            relays = region_digest::relays(members.filter(|info| is_in_region(info)));
+        }
+        relays.into_iter().cloned().collect()
+    }
 }
 
 impl ReceivedHeartbeat {
     fn is_reachable(&self, now: units_time::MonoInstant) -> bool {
-        now.since(self.received_at) <= SILENCE_MAX
+        now.since(self.received_at) <= self.silence_max
+    }
+
+    fn digest_entry(&self, now: units_time::MonoInstant) -> region_digest::Entry {
+        let age_ms = now.since(self.received_at).as_millis();
+        let heartbeat = &self.heartbeat;
+        region_digest::Entry {
+            machine: region_digest::MachineKey::of(&heartbeat.about),
+            age_ms: u16::try_from(age_ms).unwrap_or(u16::MAX),
+            revision: heartbeat.revision,
+            phase: heartbeat.phase,
+            store_steady_ms: heartbeat.store_steady_ms,
+            reaches_store: heartbeat.reaches_store,
+            requests_per_s: heartbeat.requests_per_s,
+            link_bandwidth: self.link_bandwidth,
+        }
     }
 }
--- a/crates/waxwing-machine/tests/machine/main.rs
+++ b/crates/waxwing-machine/tests/machine/main.rs
@@ -8,6 +8,7 @@
 mod memory_budget;
 mod placement;
 mod pool;
+mod region_digest;
 mod server_list;
 mod server_set;
 mod store_history;
--- a/crates/waxwing-protocol/src/peer.rs
+++ b/crates/waxwing-protocol/src/peer.rs
@@ -8,6 +8,7 @@
 use waxwing_contract::token_balance;
 use waxwing_machine::fleet;
 use waxwing_machine::membership;
+use waxwing_machine::region_digest;
 use waxwing_timeline::stamp;
 use waxwing_units::bandwidth;
 use waxwing_units::id;
@@ -57,6 +58,8 @@
     Loan(Loan),
     /// The bandwidth of the sender's link, beside a `waxwing-vm` machine's heartbeats.
     MemberLink(bandwidth::Bandwidth),
+    /// The heartbeats of a region, for the machines of other regions.
+    RegionDigest(region_digest::RegionDigest),
 }
 
 /// Requests a loan of tokens.
--- a/crates/waxwing-protocol/tests/protocol.rs
+++ b/crates/waxwing-protocol/tests/protocol.rs
@@ -2,11 +2,16 @@
 //! input.
 
 use waxwing_contract::message;
+use waxwing_machine::entry_vm;
+use waxwing_machine::membership;
+use waxwing_machine::region_digest;
 use waxwing_protocol::frame;
 use waxwing_protocol::local;
 use waxwing_protocol::peer;
 use waxwing_timeline::stamp;
+use waxwing_units::bandwidth;
 use waxwing_units::id;
+use waxwing_units::time;
 
 fn datagram() -> peer::Datagram {
     let from = message::Peer {
@@ -37,6 +42,34 @@
     assert_eq!(peer::decode(&encoded_datagram()), Ok(datagram()));
 }
 
+/// Guards against a digest that is too large for a datagram, so that a region is not heard any more.
+#[test]
+fn the_largest_digest_fits_into_a_datagram() {
+    let about = membership::MachineInfo {
+        vm: "vm-a".parse().expect("a valid name"),
+        started: id::Incarnation(u64::MAX),
+        failure_domain: "lautoka".parse().expect("a valid name"),
+        peer_address: "127.0.0.1:1".parse().expect("a valid address"),
+        entry_address: "127.0.0.1:2".parse().expect("a valid address"),
+    };
+    let entry = region_digest::Entry {
+        machine: region_digest::MachineKey::of(&about),
+        age_ms: u16::MAX,
+        revision: id::Revision(u64::MAX),
+        phase: entry_vm::Phase::Leaving,
+        store_steady_ms: time::Millis(u64::MAX),
+        reaches_store: true,
+        requests_per_s: u32::MAX,
+        link_bandwidth: Some(bandwidth::Bandwidth(u64::MAX)),
+    };
+    let entries = vec![entry; region_digest::ENTRIES_MAX];
+    let digest = region_digest::RegionDigest { route: region_digest::Route::ToRegion, entries };
+    let datagram = peer::Datagram { body: peer::Body::RegionDigest(digest), ..datagram() };
+    let mut buffer = [0; peer::DATAGRAM_MAX_BYTES];
+    let bytes = peer::encode(&datagram, &mut buffer).expect("the datagram fits into the buffer");
+    assert_eq!(peer::decode(bytes), Ok(datagram));
+}
+
 #[test]
 fn truncated_and_extended_datagrams_are_rejected() {
     let encoded = encoded_datagram();
--- a/crates/waxwing-vm/src/lib.rs
+++ b/crates/waxwing-vm/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod connection_pool;
 pub mod contracts;
 pub mod counters;
+pub mod digests;
 pub mod directory;
 pub mod exchange;
 pub mod forward;
--- a/crates/waxwing-vm/src/peers.rs
+++ b/crates/waxwing-vm/src/peers.rs
@@ -9,6 +9,7 @@
 use waxwing_process::clock;
 use waxwing_protocol::peer;
 
+use crate::digests;
 use crate::vm;
 
 /// How often heartbeats are sent.
@@ -50,6 +51,7 @@
         peer::Body::MemberLink(bandwidth) => {
             vm.membership.lock().record_link_bandwidth(&datagram.from.vm, bandwidth);
         }
+        peer::Body::RegionDigest(digest) => digests::receive(vm, digest),
         peer::Body::Loan(loan) => vm.contracts.receive_loan(&datagram.from.vm, &loan),
         peer::Body::Heartbeat(_) | peer::Body::Contract(_) => {
             log::debug!("dropped a datagram that is meant for a keeper");
@@ -68,6 +70,7 @@
 pub fn run_heartbeats(vm: &vm::Vm) {
     for round in 0_u64.. {
         send_heartbeats(vm);
+        digests::send(vm);
         if round.is_multiple_of(HEARTBEATS_PER_LINK_REPORT) {
             send_link_bandwidth(vm);
         }
@@ -80,31 +83,38 @@
     let Some(bandwidth) = vm.settings().settings.link_bandwidth else {
         return;
     };
-    let targets = vm.membership.lock().heartbeat_targets(clock::now());
-    for target in targets {
+    for target in heartbeat_targets(vm) {
         send(vm, target, peer::Body::MemberLink(bandwidth));
     }
 }
 
 /// Sends one heartbeat to each member and to each VM that sent one lately.
 pub fn send_heartbeats(vm: &vm::Vm) {
-    let (targets, revision) = {
-        let membership = vm.membership.lock();
-        (membership.heartbeat_targets(clock::now()), membership.revision())
-    };
-    let heartbeat = membership::Heartbeat {
+    let heartbeat = heartbeat(vm);
+    for target in heartbeat_targets(vm) {
+        send(vm, target, peer::Body::MemberHeartbeat(heartbeat.clone()));
+    }
+}
+
+/// Returns this VM's heartbeat.
+pub fn heartbeat(vm: &vm::Vm) -> membership::Heartbeat {
+    membership::Heartbeat {
         about: vm.info.clone(),
-        revision,
+        revision: vm.membership.lock().revision(),
         phase: vm.phase(),
         store_steady_ms: vm.store_steady(),
         reaches_store: vm.reaches_store.load(atomic::Ordering::Acquire),
         requests_per_s: vm.arrival_rate.per_s(clock::now()),
-    };
-    for target in targets {
-        send(vm, target, peer::Body::MemberHeartbeat(heartbeat.clone()));
     }
 }
 
+/// Returns where heartbeats are sent: in a large fleet, to the machines of this region only.
+fn heartbeat_targets(vm: &vm::Vm) -> Vec<net::SocketAddr> {
+    let sends_to_all = !digests::are_used(vm);
+    let is_target = |info: &membership::MachineInfo| sends_to_all || digests::is_near(vm, info);
+    vm.membership.lock().heartbeat_targets(clock::now(), is_target)
+}
+
 /// Sends a datagram; one that can't be sent counts as lost.
 pub fn send(vm: &vm::Vm, address: net::SocketAddr, body: peer::Body) {
     let datagram = peer::Datagram { from: vm.sender_identity(), stamp: vm.stamp(), body };
--- a/crates/waxwing-vm/src/settings.rs
+++ b/crates/waxwing-vm/src/settings.rs
@@ -7,6 +7,7 @@
 use serde_with::serde_as;
 use waxwing_machine::memory_budget;
 use waxwing_machine::placement;
+use waxwing_machine::region_digest;
 use waxwing_process::descriptors;
 use waxwing_process::settings;
 use waxwing_units::bandwidth;
@@ -87,6 +88,9 @@
     /// How long a registration lasts without renewal.
     #[serde_as(as = "DisplayFromStr")]
     pub registration_lease: units_time::Millis,
+    /// The number of members up to which heartbeats are sent to all machines; in a larger fleet they
+    /// cross regions in digests.
+    pub direct_heartbeats_max: usize,
     /// The number of home servers of an object, which share the requests that concern it.
     pub homes: usize,
     /// Requests that may queue at a backend server for each of its slots.
@@ -125,6 +129,7 @@
             end_max: units_time::Millis(6_000),
             answer_validity: units_time::Millis(1_000),
             registration_lease: units_time::Millis(10_000),
+            direct_heartbeats_max: region_digest::DIRECT_MEMBERS_MAX,
             homes: 2,
             queued_per_slot_max: 1,
             repeats_ratio: ratio::Permille(100),
