--- a/crates/waxwing-contract/src/lib.rs
+++ b/crates/waxwing-contract/src/lib.rs
@@ -25,6 +25,7 @@
 //!
 //! * [`share`]: which members hold a share of a contract, and how large it is.
 //! * [`token_balance`]: the tokens of one organisation on a member: its share and its loans.
+//! * [`token_wait`]: whether a request without a token waits for one, and for how long.
 //! * [`lender_search`]: which members to ask for a loan while a request waits, and in which order.
 //!
 //! # Why the limit holds with parts and holders
@@ -56,3 +57,4 @@
 pub mod seat;
 pub mod share;
 pub mod token_balance;
+pub mod token_wait;
--- a/crates/waxwing-contract/src/token_balance.rs
+++ b/crates/waxwing-contract/src/token_balance.rs
@@ -92,11 +92,23 @@
     }
 
     /// Takes one token and returns whether there was one.
+    pub fn spend(&mut self, now: units_time::MonoInstant) -> bool {
+        self.spend_above(now, rate::NanoTokens::ZERO)
+    }
+
+    /// Takes one token if one is left for another request then, and returns whether there was one.
+    ///
+    /// A request that has waited is late already, so it leaves the last token to one that arrives now.
+    pub fn spend_spare(&mut self, now: units_time::MonoInstant) -> bool {
+        self.spend_above(now, ONE_TOKEN)
+    }
+
+    /// Takes one token if `reserve` is left then.
     ///
     /// Borrowed tokens are spent first, since they expire.
-    pub fn spend(&mut self, now: units_time::MonoInstant) -> bool {
+    fn spend_above(&mut self, now: units_time::MonoInstant, reserve: rate::NanoTokens) -> bool {
         self.refresh(now);
-        if self.level().0 < ONE_TOKEN.0 {
+        if self.level().0 < ONE_TOKEN.plus(reserve).0 {
             return false;
         }
         self.demand.record(now, DEMAND_WINDOW);
--- a/crates/waxwing-contract/tests/contract/main.rs
+++ b/crates/waxwing-contract/tests/contract/main.rs
@@ -7,3 +7,4 @@
 mod share;
 mod support;
 mod token_balance;
+mod token_wait;
--- a/crates/waxwing-machine/src/store_reader.rs
+++ b/crates/waxwing-machine/src/store_reader.rs
@@ -30,9 +30,16 @@
 /// The delay before a machine that is not the reader retries, after several consecutive failures.
 const RETRY_LONG: time::Duration = time::Duration::from_millis(800);
 
+/// The delay before it retries in a long outage, in which it learns from the reader that the store
+/// responds again.
+const RETRY_IN_OUTAGE: time::Duration = time::Duration::from_millis(1_600);
+
 /// The number of consecutive failures up to which every machine retries after the short delay.
 const SHORT_RETRIES_MAX: u32 = 2;
 
+/// The number of consecutive failures up to which an outage is not a long one.
+const LONG_RETRIES_MAX: u32 = 3;
+
 /// Returns which of the reachable `machines` reads the store for the others.
 pub fn elect<'a>(machines: impl Iterator<Item = &'a id::VmId>) -> Option<&'a id::VmId> {
     machines.max_by_key(|vm| (rendezvous::weight(ELECTION_KEY, vm.as_str()), *vm))
@@ -60,8 +67,11 @@
 /// The first delays are short, since one lost call must not make a change known too late. Later
 /// ones are long for all machines but the reader, which passes on what it reads.
 pub fn retry_backoff(failures: u32, is_reader: bool) -> time::Duration {
-    match is_reader || failures <= SHORT_RETRIES_MAX {
-        true => RETRY_SHORT,
-        false => RETRY_LONG,
+    if is_reader || failures <= SHORT_RETRIES_MAX {
+        RETRY_SHORT
+    } else if failures <= LONG_RETRIES_MAX {
+        RETRY_LONG
+    } else {
+        RETRY_IN_OUTAGE
     }
 }
--- a/crates/waxwing-vm/src/account.rs
+++ b/crates/waxwing-vm/src/account.rs
@@ -11,6 +11,7 @@
 use waxwing_contract::lender_search;
 use waxwing_contract::share;
 use waxwing_contract::token_balance;
+use waxwing_contract::token_wait;
 use waxwing_machine::membership;
 use waxwing_protocol::peer;
 use waxwing_request::return_schedule;
@@ -27,12 +28,18 @@
 /// The least time between two loan requests ahead of need.
 const PREFETCH_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
+/// The least time between two requests for a loan while the organisation counts as spent.
+const PROBE_INTERVAL: time::Duration = time::Duration::from_millis(50);
+
 /// The retry delay if this VM has no share of a contract.
 const NO_SHARE_RETRY_AFTER: time::Duration = time::Duration::from_millis(500);
 
 /// The longest retry delay; it applies if a contract has no rate.
 const RETRY_AFTER_MAX: time::Duration = time::Duration::from_secs(60);
 
+/// The shortest pause before a waiting request looks for a token again.
+const TOKEN_WAIT_MIN: time::Duration = time::Duration::from_millis(5);
+
 /// Why an organisation could not be charged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ChargeError {
@@ -64,6 +71,7 @@
     has_holder_response: bool,
     last_prefetch_at: units_time::MonoInstant,
     no_lenders_until: units_time::MonoInstant,
+    token_wait: token_wait::TokenWait,
     loan_received: sync::Arc<Notify>,
     /// The turns of callers that were refused for lack of tokens.
     returns: return_schedule::ReturnSchedule,
@@ -90,8 +98,19 @@
 pub(crate) enum LocalCharge {
     /// The charge was decided, or waits for loans that were already requested.
     Done(ChargeAttempt),
-    /// Loans have to be requested. With `Need::Prefetch` the request was charged already.
-    NeedsLoan(token_balance::Need),
+    /// Loans have to be requested.
+    NeedsLoan(LoanPurpose),
+}
+
+/// What a loan is requested for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LoanPurpose {
+    /// Requests that are expected; this one was charged already.
+    Prefetch,
+    /// This request, which waits for it.
+    Waiting,
+    /// Later requests, since nothing is known to be left for this one.
+    Probe,
 }
 
 /// A loan request and its recipients.
@@ -115,6 +134,7 @@
             has_holder_response: false,
             last_prefetch_at: units_time::MonoInstant::default(),
             no_lenders_until: units_time::MonoInstant::default(),
+            token_wait: token_wait::TokenWait::recovering(now),
             loan_received: sync::Arc::default(),
             returns: return_schedule::ReturnSchedule::default(),
         }
@@ -145,6 +165,11 @@
             }
             _ => (contract::RateLimit::NONE, now),
         };
+        let began_empty = !self.balance.has_share(now) && share_limit != contract::RateLimit::NONE;
+        if began_empty {
+            self.token_wait.restart_recovery(now);
+            self.loan_received.notify_waiters();
+        }
         self.balance.set_share(now, share_limit, valid_until);
     }
 
@@ -161,6 +186,7 @@
             return;
         };
         self.balance.receive(now, requested_at, loan.amount);
+        self.token_wait.record_response(now, loan.amount.0 > 0);
         if loan.amount.0 > 0 || self.lender_search.all_responded() {
             self.loan_received.notify_waiters();
         }
@@ -184,23 +210,79 @@
     pub(crate) fn charge_locally(
         &mut self,
         now: units_time::MonoInstant,
+        started_at: units_time::MonoInstant,
         wait_until: units_time::MonoInstant,
     ) -> LocalCharge {
-        if self.balance.spend(now) {
+        let has_waited =
+            self.token_wait.is_recovering(now) && now.since(started_at) > TOKEN_WAIT_MIN;
+        let is_charged = match has_waited {
+            true => self.balance.spend_spare(now),
+            false => self.balance.spend(now),
+        };
+        if is_charged {
             return match self.should_prefetch(now) {
-                true => LocalCharge::NeedsLoan(token_balance::Need::Prefetch),
+                true => LocalCharge::NeedsLoan(LoanPurpose::Prefetch),
                 false => LocalCharge::Done(ChargeAttempt::Charged),
             };
         }
+        if self.token_wait.is_spent(now, self.holders.len().saturating_sub(1)) {
+            return match now.since(self.last_prefetch_at) >= PROBE_INTERVAL {
+                true => LocalCharge::NeedsLoan(LoanPurpose::Probe),
+                false => LocalCharge::Done(self.refuse_or_wait(now, wait_until)),
+            };
+        }
         if now < self.no_lenders_until || now >= wait_until {
-            return LocalCharge::Done(ChargeAttempt::Refused(self.charge_error(now)));
+            return LocalCharge::Done(self.refuse_or_wait(now, wait_until));
         }
         match self.lender_search.response_deadline() {
             Some(response_deadline) if now < response_deadline => {
                 LocalCharge::Done(self.wait_for_loan(response_deadline))
             }
-            _ => LocalCharge::NeedsLoan(token_balance::Need::Waiting),
+            _ => LocalCharge::NeedsLoan(LoanPurpose::Waiting),
+        }
+    }
+
+    /// Refuses a request that no lender serves, unless the account recovers: then tokens are due soon,
+    /// and the request waits for them.
+    fn refuse_or_wait(
+        &mut self,
+        now: units_time::MonoInstant,
+        wait_until: units_time::MonoInstant,
+    ) -> ChargeAttempt {
+        if now >= wait_until || !self.token_wait.is_recovering(now) {
+            return ChargeAttempt::Refused(self.charge_error(now));
         }
+        let next_token_in = self.balance.next_token_in(now).unwrap_or(NO_LENDERS_BACKOFF);
+        let next_try_at = now.after(next_token_in.max(TOKEN_WAIT_MIN)).min(wait_until);
+        ChargeAttempt::Wait(self.loan_received.clone().notified_owned(), next_try_at)
+    }
+
+    /// Returns how long a request may wait at most for its token.
+    pub(crate) fn wait_max(
+        &self,
+        now: units_time::MonoInstant,
+        latency_objective: time::Duration,
+    ) -> time::Duration {
+        self.token_wait.wait_max(now, latency_objective)
+    }
+
+    /// Asks the next lender on behalf of later requests, as nothing is known to be left for this one.
+    pub(crate) fn probe_request(
+        &mut self,
+        now: units_time::MonoInstant,
+        wait_until: units_time::MonoInstant,
+        reachable: &reachable_peers::ReachablePeers,
+    ) -> (LoanRequest, ChargeAttempt) {
+        self.last_prefetch_at = now;
+        let nonce = id::Nonce(now.0);
+        let lenders = self.next_lenders(now, nonce, reachable);
+        if lenders.is_empty() {
+            self.lender_search.restart();
+        }
+        // More could expire unspent here while other machines refuse requests for lack of it.
+        let wanted = rate::NanoTokens(rate::NANO_PER_TOKEN);
+        let attempt = self.refuse_or_wait(now, wait_until);
+        (LoanRequest { nonce, lenders, wanted, need: token_balance::Need::Waiting }, attempt)
     }
 
     fn wait_for_loan(&self, response_deadline: units_time::MonoInstant) -> ChargeAttempt {
@@ -252,6 +334,7 @@
     pub(crate) fn loan_request(
         &mut self,
         now: units_time::MonoInstant,
+        wait_until: units_time::MonoInstant,
         reachable: &reachable_peers::ReachablePeers,
     ) -> (LoanRequest, ChargeAttempt) {
         let nonce = id::Nonce(now.0);
@@ -263,7 +346,7 @@
                 self.no_lenders_until = now.after(NO_LENDERS_BACKOFF);
                 self.has_holder_response = self.lender_search.has_response();
                 self.lender_search.restart();
-                ChargeAttempt::Refused(self.charge_error(now))
+                self.refuse_or_wait(now, wait_until)
             }
         };
         (LoanRequest { nonce, lenders, wanted, need: token_balance::Need::Waiting }, attempt)
--- a/crates/waxwing-vm/src/contracts.rs
+++ b/crates/waxwing-vm/src/contracts.rs
@@ -7,7 +7,6 @@
 use std::time;
 
 use parking_lot::Mutex;
-use waxwing_contract::token_balance;
 use waxwing_machine::membership;
 use waxwing_process::clock;
 use waxwing_process::timer;
@@ -26,9 +25,6 @@
 /// The number of shards.
 const SHARDS: usize = 16;
 
-/// The longest time that a request waits for a loan.
-const LOAN_WAIT_MAX: time::Duration = time::Duration::from_millis(200);
-
 /// Accounts sorted by organisation.
 type Shard = Vec<account::Account>;
 
@@ -131,17 +127,22 @@
     vm: &vm::Vm,
     organisation: &id::OrganisationId,
     deadline: units_time::MonoInstant,
+    latency_objective: time::Duration,
 ) -> std::result::Result<(), account::ChargeError> {
     let started_at = clock::now();
-    let wait_until = deadline.min(started_at.after(LOAN_WAIT_MAX));
+    let wait_max = vm
+        .contracts
+        .with_account(organisation, |account| account.wait_max(started_at, latency_objective));
+    let wait_until = deadline.min(started_at.after(wait_max.unwrap_or_default()));
     loop {
-        let (loan_received, response_deadline) = match try_charge(vm, organisation, wait_until) {
-            account::ChargeAttempt::Charged => return Ok(()),
-            account::ChargeAttempt::Refused(refused) => return Err(refused),
-            account::ChargeAttempt::Wait(loan_received, response_deadline) => {
-                (loan_received, response_deadline)
-            }
-        };
+        let (loan_received, response_deadline) =
+            match try_charge(vm, organisation, started_at, wait_until) {
+                account::ChargeAttempt::Charged => return Ok(()),
+                account::ChargeAttempt::Refused(refused) => return Err(refused),
+                account::ChargeAttempt::Wait(loan_received, response_deadline) => {
+                    (loan_received, response_deadline)
+                }
+            };
         let time_left = wait_until.min(response_deadline).since(clock::now());
         if timer::timeout(time_left, loan_received).await.is_err() {
             log::debug!("no loan for {organisation} yet");
@@ -152,25 +153,28 @@
 fn try_charge(
     vm: &vm::Vm,
     organisation: &id::OrganisationId,
+    started_at: units_time::MonoInstant,
     wait_until: units_time::MonoInstant,
 ) -> account::ChargeAttempt {
     let now = clock::now();
     // An organisation without a limit has no account.
-    let local_charge =
-        vm.contracts.with_account(organisation, |account| account.charge_locally(now, wait_until));
-    let need = match local_charge {
+    let local_charge = vm
+        .contracts
+        .with_account(organisation, |account| account.charge_locally(now, started_at, wait_until));
+    let purpose = match local_charge {
         Some(account::LocalCharge::Done(attempt)) => return attempt,
-        Some(account::LocalCharge::NeedsLoan(need)) => need,
+        Some(account::LocalCharge::NeedsLoan(purpose)) => purpose,
         None => return account::ChargeAttempt::Charged,
     };
     // The members are read without holding the account's lock, since they are under a lock of their
     // own.
     let reachable = reachable_peers::ReachablePeers::of(vm, now);
-    let planned = vm.contracts.with_account(organisation, |account| match need {
-        token_balance::Need::Prefetch => {
+    let planned = vm.contracts.with_account(organisation, |account| match purpose {
+        account::LoanPurpose::Prefetch => {
             (account.prefetch_request(now, &reachable), account::ChargeAttempt::Charged)
         }
-        token_balance::Need::Waiting => account.loan_request(now, &reachable),
+        account::LoanPurpose::Waiting => account.loan_request(now, wait_until, &reachable),
+        account::LoanPurpose::Probe => account.probe_request(now, wait_until, &reachable),
     });
     let Some((loan_request, attempt)) = planned else {
         return account::ChargeAttempt::Charged;
--- a/crates/waxwing-vm/src/reconcile.rs
+++ b/crates/waxwing-vm/src/reconcile.rs
@@ -89,6 +89,10 @@
         let transitions = vm.pools.update(&service.service, &known, &context);
         transitions.iter().for_each(|transition| server_events::record(vm, transition));
     }
+    let has_read = vm.store_replica.servers_at().is_some();
+    if has_read && !vm.has_servers.swap(true, atomic::Ordering::AcqRel) {
+        vm.start_progressed.notify_waiters();
+    }
 }
 
 /// Returns the weight of a failure domain in `weights`; the least one if it is not listed.
--- a/crates/waxwing-vm/src/request_admission.rs
+++ b/crates/waxwing-vm/src/request_admission.rs
@@ -111,6 +111,8 @@
     log_entry: &mut access_log::AccessLogEntry,
 ) -> ReceivedRequest {
     let received_at = clock::now();
+    let wait_max = incoming.timeout.unwrap_or(UNROUTED_TIMEOUT) / START_WAIT_DIVISOR;
+    vm.wait_until_started(wait_max.min(START_WAIT_MAX)).await;
     let configuration = vm.active_configuration();
     log_entry.record_configuration(&configuration);
     let apply_max = vm.settings().settings.apply_max.duration();
@@ -153,7 +155,8 @@
     let organisation = authenticate(vm, &table, &route, &incoming)?;
     log_entry.record_organisation(organisation.as_ref());
     if let Some(organisation) = &organisation {
-        let charged = contracts::charge(vm, organisation, vm.shutdown.limit(deadline)).await;
+        let deadline = vm.shutdown.limit(deadline);
+        let charged = contracts::charge(vm, organisation, deadline, route.latency_objective).await;
         vm.counters.count_charge(if charged.is_ok() { "charged" } else { "refused" });
         charged.map_err(refusal::Refusal::NotCharged)?;
     }
@@ -179,6 +182,13 @@
     Ok(request)
 }
 
+/// How long a request waits, at most, on a VM that has just started and reads its configuration.
+const START_WAIT_MAX: time::Duration = time::Duration::from_secs(2);
+
+/// The part of a request's time, as a divisor, that it waits for that; a caller that is refused comes
+/// back within that time too.
+const START_WAIT_DIVISOR: u32 = 3;
+
 /// How long the body of a request waits for memory.
 const BODY_MEMORY_WAIT_MAX: time::Duration = time::Duration::from_secs(1);
 
--- a/crates/waxwing-vm/src/store_poll.rs
+++ b/crates/waxwing-vm/src/store_poll.rs
@@ -177,6 +177,7 @@
     vm.needs_newer_table.store(false, atomic::Ordering::Release);
     if has_changed {
         reconcile::update_shares(vm);
+        vm.start_progressed.notify_waiters();
     }
     is_confirmed
 }
@@ -287,7 +288,6 @@
         known_servers.record_restoration(restored_at);
     }
     known_servers.apply_list(now, listed);
-    vm.has_servers.store(true, atomic::Ordering::Release);
 }
 
 /// Polls the members of the fleet; never returns.
--- a/crates/waxwing-vm/src/vm.rs
+++ b/crates/waxwing-vm/src/vm.rs
@@ -6,6 +6,7 @@
 use std::time;
 
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 use waxwing_contract::message;
 use waxwing_machine::entry_vm;
 use waxwing_machine::membership;
@@ -13,6 +14,7 @@
 use waxwing_process::clock;
 use waxwing_process::log_limiter;
 use waxwing_process::shutdown;
+use waxwing_process::timer;
 use waxwing_request::budget;
 use waxwing_route::staleness;
 use waxwing_route::table;
@@ -130,8 +132,10 @@
     pub reaches_store: atomic::AtomicBool,
     /// Whether another VM has a newer configuration, so that this one has to read the store.
     pub needs_newer_table: atomic::AtomicBool,
-    /// Whether the backend servers were read at least once.
+    /// Whether the backend servers were read at least once, and are in the pools.
     pub has_servers: atomic::AtomicBool,
+    /// Notified when a configuration or the servers are read for the first time.
+    pub start_progressed: Notify,
     /// The members of the fleet and their heartbeats.
     pub membership: Mutex<membership::Membership>,
     /// The backend servers of all services.
@@ -186,6 +190,7 @@
             store_history: Mutex::default(),
             reaches_store: atomic::AtomicBool::new(true),
             needs_newer_table: atomic::AtomicBool::new(false),
+            start_progressed: Notify::new(),
             has_servers: atomic::AtomicBool::new(false),
             pools: service_pools::ServicePools::default(),
             contracts: contracts::Contracts::default(),
@@ -307,6 +312,27 @@
         store_replica::elect_reader(self).is_none_or(|info| info.vm == self.info.vm)
     }
 
+    /// Waits until this VM has read a configuration and the backend servers, for `wait_max` at most.
+    pub async fn wait_until_started(&self, wait_max: time::Duration) {
+        let has_started =
+            || self.table().is_some() && self.has_servers.load(atomic::Ordering::Acquire);
+        if has_started() {
+            return;
+        }
+        let waiting = async {
+            loop {
+                let progressed = self.start_progressed.notified();
+                if has_started() {
+                    return;
+                }
+                progressed.await;
+            }
+        };
+        if timer::timeout(wait_max, waiting).await.is_err() {
+            log::debug!("a request did not wait any longer for the configuration and the servers");
+        }
+    }
+
     /// Returns how long the store has been responding to all calls of this VM; zero if it has not
     /// responded lately.
     pub fn store_steady(&self) -> units_time::Millis {
