--- a/crates/waxwing-request/src/lib.rs
+++ b/crates/waxwing-request/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`retry`]: a retry budget that each machine applies by itself.
 //! * [`queue`]: a fair queue of requests that wait for a slot at a backend server.
 //! * [`return_schedule`]: when callers whose requests were refused should come back.
+//! * [`waiting_room`]: the order in which requests that wait on a machine get freed slots.
 //! * [`status_line`]: a second status line in a response, which tells that two were joined.
 //! * [`shutdown`]: which requests a machine still passes on during a shutdown.
 
@@ -21,3 +22,4 @@
 pub mod return_schedule;
 pub mod shutdown;
 pub mod status_line;
+pub mod waiting_room;
--- a/crates/waxwing-request/tests/request/main.rs
+++ b/crates/waxwing-request/tests/request/main.rs
@@ -8,3 +8,4 @@
 mod return_schedule;
 mod shutdown;
 mod status_line;
+mod waiting_room;
--- a/crates/waxwing-vm/src/counters.rs
+++ b/crates/waxwing-vm/src/counters.rs
@@ -130,6 +130,9 @@
         "Connections and requests refused so far for lack of memory or descriptors",
         |vm| vm.memory.refusals(),
     );
+    gauge("waxwing_waiting_requests", "Requests that wait for a slot at a server", |vm| {
+        vm.pools.waiting() as u64
+    });
     gauge("waxwing_requests_under_way", "Requests in progress", |vm| {
         vm.in_flight.load(std::sync::atomic::Ordering::Acquire)
     });
--- a/crates/waxwing-vm/src/forward.rs
+++ b/crates/waxwing-vm/src/forward.rs
@@ -30,6 +30,10 @@
 /// The least time left for which an attempt is sent; a response can't arrive within less.
 const SEND_TIME_LEFT_MIN: time::Duration = time::Duration::from_millis(20);
 
+/// The part of its latency objective, as a divisor, that a request waits for a slot; the rest is for
+/// the server.
+const SLOT_WAIT_DIVISOR: u32 = 4;
+
 /// The time after a backoff over which callers are asked to return.
 const RETURN_SPREAD_MAX: time::Duration = time::Duration::from_millis(500);
 
@@ -154,7 +158,7 @@
 ) -> refusal::Result<exchange::Response> {
     let mut prior = PriorAttempts::default();
     loop {
-        let mut slot = match next_slot(vm, request, &mut prior) {
+        let mut slot = match next_slot_in_time(vm, request, &mut prior).await {
             Ok(slot) => slot,
             Err(refusal) => {
                 if let (true, Some(organisation)) =
@@ -188,6 +192,36 @@
     }
 }
 
+/// Takes a slot for the next attempt; if all servers that the request may use are full, waits for one
+/// among the other requests of the service.
+async fn next_slot_in_time(
+    vm: &vm::Shared,
+    request: &request_admission::AdmittedRequest,
+    prior: &mut PriorAttempts,
+) -> refusal::Result<service_pools::Slot> {
+    let wait_max = request.route.latency_objective / SLOT_WAIT_DIVISOR;
+    let wait_until = vm.shutdown.limit(request.deadline).min(clock::now().after(wait_max));
+    let mut place = None;
+    loop {
+        let refusal = match next_slot(vm, request, prior) {
+            Ok(slot) => return Ok(slot),
+            Err(refusal) => refusal,
+        };
+        let time_left = wait_until.since(clock::now());
+        if !refusal.is_for_lack_of_slots() || time_left.is_zero() {
+            return Err(refusal);
+        }
+        if place.is_none() {
+            let (service, due_at) = (&request.service, request.deadline);
+            place = vm.pools.enter_waiting_room(vm, service, request.rank, due_at);
+        }
+        match &place {
+            Some(place) if place.wait(time_left).await => (),
+            _ => return Err(refusal),
+        }
+    }
+}
+
 /// Checks the request again and takes a slot at a server for the next attempt.
 fn next_slot(
     vm: &vm::Shared,
--- a/crates/waxwing-vm/src/refusal.rs
+++ b/crates/waxwing-vm/src/refusal.rs
@@ -116,6 +116,11 @@
         matches!(self, Self::NoRoute | Self::UnknownKey | Self::BodyTooLarge)
     }
 
+    /// Returns whether all servers that may run the request are full, and none was tried in vain.
+    pub const fn is_for_lack_of_slots(&self) -> bool {
+        matches!(self, Self::Failed { fault: attempt::Fault::NoSlot, .. })
+    }
+
     /// Returns how long the caller should wait before a retry; `None` if a retry can't help.
     pub const fn retry_after(&self) -> Option<time::Duration> {
         match self {
--- a/crates/waxwing-vm/src/service_pools.rs
+++ b/crates/waxwing-vm/src/service_pools.rs
@@ -1,23 +1,31 @@
 //! The backend servers and the retry budget of each service, and the traffic split of each route.
 
 use std::rc;
+use std::sync;
 use std::time;
 
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 use waxwing_machine::availability;
 use waxwing_machine::placement;
 use waxwing_machine::server_health;
 use waxwing_machine::server_set;
 use waxwing_process::clock;
+use waxwing_process::timer;
 use waxwing_request::budget;
+use waxwing_request::waiting_room;
 use waxwing_route::route;
 use waxwing_route::split;
 use waxwing_units::id;
 use waxwing_units::rendezvous;
+use waxwing_units::time as units_time;
 
 use crate::leased_server;
 use crate::vm;
 
+/// How often a waiting request looks for a slot without a notification.
+const SLOT_RECHECK_INTERVAL: time::Duration = time::Duration::from_millis(25);
+
 /// The number of shards of the pools, and of those of the traffic splits.
 const SHARDS: usize = 16;
 
@@ -27,6 +35,8 @@
     service: id::ServiceId,
     pool: placement::Pool,
     retry_budget: budget::MachineShare,
+    /// The requests that wait for a slot.
+    waiting: waiting_room::WaitingRoom<sync::Arc<Notify>>,
 }
 
 /// Pools sorted by service.
@@ -63,6 +73,34 @@
     load: Option<server_health::Load>,
 }
 
+/// A place among the requests that wait for a slot, given up when it is dropped.
+pub struct WaitingPlace {
+    vm: vm::Shared,
+    service: id::ServiceId,
+    ticket: waiting_room::Ticket,
+    freed: sync::Arc<Notify>,
+}
+
+impl WaitingPlace {
+    /// Waits until a slot may be free, for `wait_max` at most; returns false once more urgent requests
+    /// have taken the place.
+    pub async fn wait(&self, wait_max: time::Duration) -> bool {
+        let has_place = |pool: &mut ServicePool| pool.waiting.contains(self.ticket);
+        if !self.vm.pools.with_pool(&self.service, has_place).unwrap_or(false) {
+            return false;
+        }
+        // After the time it looks by itself: a server may be free by a report that has expired.
+        timer::timeout(wait_max.min(SLOT_RECHECK_INTERVAL), self.freed.notified()).await.ok();
+        true
+    }
+}
+
+impl Drop for WaitingPlace {
+    fn drop(&mut self) {
+        self.vm.pools.with_pool(&self.service, |pool| pool.waiting.leave(self.ticket));
+    }
+}
+
 /// The result of a request for a slot.
 pub enum Acquired {
     /// A slot at a server.
@@ -182,7 +220,38 @@
         load: Option<server_health::Load>,
     ) {
         let now = clock::now();
-        self.with_pool(service, |pool| pool.pool.release(now, lease, outcome, load));
+        self.with_pool(service, |pool| {
+            pool.pool.release(now, lease, outcome, load);
+            // The tasks run in the order in which they are notified; the slot may be at no home of the
+            // first one.
+            pool.waiting.handles().for_each(|freed| freed.notify_one());
+        });
+    }
+
+    /// Takes a place among the requests that wait for a slot of a service; `None` if there is none.
+    pub fn enter_waiting_room(
+        &self,
+        vm: &vm::Shared,
+        service: &id::ServiceId,
+        rank: u32,
+        due_at: units_time::MonoInstant,
+    ) -> Option<WaitingPlace> {
+        let freed = sync::Arc::<Notify>::default();
+        let places = vm.settings().settings.waiting_max;
+        let ticket = self.with_pool(service, |pool| {
+            pool.waiting.set_places(places);
+            pool.waiting.enter(rank, due_at, freed.clone())
+        });
+        let (vm, service) = (vm.clone(), service.clone());
+        ticket.flatten().map(|ticket| WaitingPlace { vm, service, ticket, freed })
+    }
+
+    /// Returns the number of requests that wait for a slot, over all services.
+    pub fn waiting(&self) -> usize {
+        let in_shard = |shard: &Mutex<Shard>| -> usize {
+            shard.lock().iter().map(|pool| pool.waiting.len()).sum()
+        };
+        self.shards.iter().map(in_shard).sum()
     }
 
     /// Applies a statement about the server of a lease; returns the change of its state.
@@ -246,6 +315,7 @@
             service,
             pool: placement::Pool::default(),
             retry_budget: budget::MachineShare::default(),
+            waiting: waiting_room::WaitingRoom::new(0),
         }
     }
 }
--- a/crates/waxwing-vm/src/settings.rs
+++ b/crates/waxwing-vm/src/settings.rs
@@ -95,6 +95,8 @@
     pub homes: usize,
     /// Requests that may queue at a backend server for each of its slots.
     pub queued_per_slot_max: u32,
+    /// The requests of a service that may wait on this VM for a slot at a server; none if it is zero.
+    pub waiting_max: usize,
     /// The retries of a service as a part of its requests, over all VMs.
     #[serde_as(as = "DisplayFromStr")]
     pub repeats_ratio: ratio::Permille,
@@ -132,6 +134,7 @@
             direct_heartbeats_max: region_digest::DIRECT_MEMBERS_MAX,
             homes: 2,
             queued_per_slot_max: 1,
+            waiting_max: 64,
             repeats_ratio: ratio::Permille(100),
             repeats_slack: 20,
             contract_slack: rate::Tokens(0),
