--- a/crates/waxwing-vm/src/lib.rs
+++ b/crates/waxwing-vm/src/lib.rs
@@ -30,6 +30,7 @@
 //! * [`contracts`]: charges organisations against their rate limits.
 //! * [`directory`]: names entry VMs to callers and answers the platform's readiness probe.
 //! * [`peers`]: datagrams between entry VMs, with heartbeats and token loans.
+//! * [`digests`]: the heartbeats of regions, for the machines of others.
 //! * [`arrival_rate`]: the average number of requests per second.
 //! * [`store_replica`]: replicates the platform's store from one entry VM of a region to the
 //!   others.
