--- a/crates/waxwing-vm/src/account.rs
+++ b/crates/waxwing-vm/src/account.rs
@@ -38,7 +38,7 @@
 const RETRY_AFTER_MAX: time::Duration = time::Duration::from_secs(60);
 
 /// The shortest pause before a waiting request looks for a token again.
-const TOKEN_WAIT_MIN: time::Duration = time::Duration::from_millis(5);
+const TOKEN_WAIT_MIN: time::Duration = time::Duration::from_millis(20);
 
 /// Why an organisation could not be charged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/waxwing-vm/src/service_pools.rs
+++ b/crates/waxwing-vm/src/service_pools.rs
@@ -24,7 +24,10 @@
 use crate::vm;
 
 /// How often a waiting request looks for a slot without a notification.
-const SLOT_RECHECK_INTERVAL: time::Duration = time::Duration::from_millis(25);
+const SLOT_RECHECK_INTERVAL: time::Duration = time::Duration::from_millis(50);
+
+/// The number of waiting requests that a released slot wakes; it may be at no home of the first ones.
+const WOKEN_MAX: usize = 4;
 
 /// The number of shards of the pools, and of those of the traffic splits.
 const SHARDS: usize = 16;
@@ -222,9 +225,8 @@
         let now = clock::now();
         self.with_pool(service, |pool| {
             pool.pool.release(now, lease, outcome, load);
-            // The tasks run in the order in which they are notified; the slot may be at no home of the
-            // first one.
-            pool.waiting.handles().for_each(|freed| freed.notify_one());
+            // The tasks run in the order in which they are notified.
+            pool.waiting.handles().take(WOKEN_MAX).for_each(|freed| freed.notify_one());
         });
     }
 
--- a/crates/waxwing-vm/src/settings.rs
+++ b/crates/waxwing-vm/src/settings.rs
@@ -134,7 +134,7 @@
             direct_heartbeats_max: region_digest::DIRECT_MEMBERS_MAX,
             homes: 2,
             queued_per_slot_max: 1,
-            waiting_max: 64,
+            waiting_max: 8,
             repeats_ratio: ratio::Permille(100),
             repeats_slack: 20,
             contract_slack: rate::Tokens(0),
