--- a/crates/waxwing-machine/src/membership.rs
+++ b/crates/waxwing-machine/src/membership.rs
@@ -228,14 +228,12 @@
     }
 
     /// Stores the heartbeats of a digest; those of machines that the member list does not name yet,
-    /// and older ones than those known, are ignored.
-    ///
-    /// Returns the machines that were unreachable before or have changed their phases.
+    /// and those that are known already, are ignored.
     pub fn apply_digest(
         &mut self,
         now: units_time::MonoInstant,
         entries: &[region_digest::Entry],
-    ) -> Vec<id::VmId> {
+    ) -> region_digest::News {
         let mut by_key: Vec<(region_digest::MachineKey, usize)> = self
             .member_list
             .members
@@ -244,35 +242,44 @@
             .map(|(at, member)| (region_digest::MachineKey::of(&member.about), at))
             .collect();
         by_key.sort();
-        let mut changed = Vec::new();
+        let mut news = region_digest::News::default();
         for entry in entries {
             let Ok(at) = by_key.binary_search_by_key(&entry.machine, |(key, _)| *key) else {
                 continue;
             };
             let about = self.member_list.members[by_key[at].1].about.clone();
+            let received_at = now.before(time::Duration::from_millis(u64::from(entry.age_ms)));
+            if !self.is_news(&about, received_at) {
+                continue;
+            }
+            news.entries.push(*entry);
             let vm = about.vm.clone();
-            if self.apply_entry(now, about, entry) {
-                changed.push(vm);
+            if self.apply_entry(now, received_at, about, entry) {
+                news.changed.push(vm);
             }
         }
-        changed
+        news
+    }
+
+    /// Returns whether a heartbeat that arrived at `received_at` is another one than the last known. The
+    /// same one seems to be a little newer if its digest took a longer way.
+    fn is_news(&self, about: &MachineInfo, received_at: units_time::MonoInstant) -> bool {
+        let Ok(at) = self.find(&about.vm) else {
+            return true;
+        };
+        let known = &self.heartbeats[at];
+        known.heartbeat.about.started != about.started
+            || received_at > known.received_at.after(region_digest::WAY_MAX)
     }
 
     fn apply_entry(
         &mut self,
         now: units_time::MonoInstant,
+        received_at: units_time::MonoInstant,
         about: MachineInfo,
         entry: &region_digest::Entry,
     ) -> bool {
         let vm = about.vm.clone();
-        let received_at = now.before(time::Duration::from_millis(u64::from(entry.age_ms)));
-        let is_outdated = self.find(&vm).is_ok_and(|at| {
-            let known = &self.heartbeats[at];
-            known.heartbeat.about.started == about.started && known.received_at >= received_at
-        });
-        if is_outdated {
-            return false;
-        }
         let heartbeat = Heartbeat {
             about,
             revision: entry.revision,
--- a/crates/waxwing-machine/src/region_digest.rs
+++ b/crates/waxwing-machine/src/region_digest.rs
@@ -4,7 +4,7 @@
 //! square of the fleet. In a large fleet machines send them within their region only. One machine of
 //! each region, the relay, sends a digest of its region to the relay of each other region, which
 //! passes it on to the machines of its own. Machines need not agree on the relay: a digest that comes
-//! twice costs bytes only, and one that reaches another machine is passed to the relay.
+//! twice is passed on once, and one that reaches another machine is passed to the relay.
 
 use std::time;
 
@@ -28,6 +28,17 @@
 /// region may have elected another relay meanwhile.
 pub const SILENCE_MAX: time::Duration = time::Duration::from_millis(3_200);
 
+/// The most by which the ways of two digests with the same heartbeat differ; less than the time between
+/// two heartbeats.
+pub const WAY_MAX: time::Duration = time::Duration::from_millis(200);
+
+/// The number of heartbeats for each digest, which keeps the bytes that a relay sends to its region low:
+/// the machines of other regions are known by digests for longer than three of them.
+const HEARTBEATS_PER_DIGEST: u64 = 3;
+
+/// The number of heartbeats after a start for which each has a digest, as all machines may have started.
+const START_HEARTBEATS: u64 = 8;
+
 /// The number of machines of a region to which a digest is sent, in case the first is gone.
 pub const RELAYS: usize = 2;
 
@@ -88,6 +99,20 @@
     pub entries: Vec<Entry>,
 }
 
+/// Returns whether a digest is due with the heartbeat of this number since the start.
+pub const fn is_due(heartbeat: u64) -> bool {
+    heartbeat < START_HEARTBEATS || heartbeat.is_multiple_of(HEARTBEATS_PER_DIGEST)
+}
+
+/// What a digest has told a machine.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct News {
+    /// The entries that it did not know.
+    pub entries: Vec<Entry>,
+    /// The machines that were unreachable before or have changed their phases.
+    pub changed: Vec<id::VmId>,
+}
+
 /// Returns the machines that relay for a region, the first one first.
 pub fn relays<'a>(
     machines: impl Iterator<Item = &'a membership::MachineInfo>,
--- a/crates/waxwing-machine/tests/machine/region_digest.rs
+++ b/crates/waxwing-machine/tests/machine/region_digest.rs
@@ -59,9 +59,8 @@
 #[test]
 fn a_machine_is_reachable_by_a_digest_until_it_is_silent_for_too_long() {
     let mut membership = view();
-    let changed =
-        membership.apply_digest(at_ms(1_500), &digest(1_000, 1_400, entry_vm::Phase::Live));
-    assert_eq!(changed.len(), 1);
+    let entries = digest(1_000, 1_400, entry_vm::Phase::Live);
+    assert_eq!(membership.apply_digest(at_ms(1_500), &entries).changed.len(), 1);
     assert_eq!(reachable(&membership, 1_500), ["x"]);
     // The heartbeat arrived at the relay at 1,000 ms; the digest's own way of 100 ms is not known.
     let silent_at_ms = 1_100 + region_digest::SILENCE_MAX.as_millis() as u64;
@@ -83,7 +82,7 @@
 fn a_machine_that_the_member_list_does_not_name_is_ignored() {
     let mut membership = Membership::new("a".parse().expect("a valid name"));
     let entries = digest(1_000, 1_400, entry_vm::Phase::Live);
-    assert_eq!(membership.apply_digest(at_ms(1_500), &entries), Vec::<id::VmId>::new());
+    assert_eq!(membership.apply_digest(at_ms(1_500), &entries), region_digest::News::default());
 }
 
 /// Guards against a region that nobody tells anything: before any heartbeat arrives, the member list
@@ -105,3 +104,14 @@
     assert_eq!(all, [info("b", "near").peer_address], "addresses are listed once");
     assert_eq!(membership.heartbeat_targets(at_ms(0), |_| false), []);
 }
+
+/// Guards against a relay that passes every digest on twice, since two of its region's machines get it.
+#[test]
+fn a_digest_that_comes_twice_is_news_once() {
+    let mut membership = view();
+    let entries = digest(1_000, 1_400, entry_vm::Phase::Live);
+    assert_eq!(membership.apply_digest(at_ms(1_420), &entries).entries.len(), 1);
+    assert_eq!(membership.apply_digest(at_ms(1_500), &entries).entries.len(), 0);
+    let later = digest(1_400, 1_800, entry_vm::Phase::Live);
+    assert_eq!(membership.apply_digest(at_ms(1_820), &later).entries.len(), 1);
+}
--- a/crates/waxwing-vm/src/digests.rs
+++ b/crates/waxwing-vm/src/digests.rs
@@ -36,25 +36,26 @@
 /// Applies a digest and passes it on, as its route says.
 pub fn receive(vm: &vm::Vm, digest: region_digest::RegionDigest) {
     let region_digest::RegionDigest { route, entries } = digest;
-    let changed = vm.membership.lock().apply_digest(clock::now(), &entries);
-    for machine in changed {
+    let news = vm.membership.lock().apply_digest(clock::now(), &entries);
+    for machine in &news.changed {
         log::info!("machine {machine} is reachable, by a digest");
     }
-    let is_relay = is_relay(vm);
     match route {
-        region_digest::Route::ToRegion | region_digest::Route::ToRelay if is_relay => {
-            for peer in near_peers(vm) {
+        region_digest::Route::ToMachine => (),
+        _ if is_relay(vm) => {
+            let peers = if news.entries.is_empty() { Vec::new() } else { near_peers(vm) };
+            for peer in peers {
                 let route = region_digest::Route::ToMachine;
-                send_part(vm, &peer, route, entries.clone());
+                send_part(vm, &peer, route, news.entries.clone());
             }
         }
+        region_digest::Route::ToRelay => (),
         region_digest::Route::ToRegion => {
             let relays = vm.membership.lock().clone().relays_of(clock::now(), |i| is_near(vm, i));
             if let Some(relay) = relays.first() {
                 send_part(vm, relay, region_digest::Route::ToRelay, entries);
             }
         }
-        region_digest::Route::ToRelay | region_digest::Route::ToMachine => (),
     }
 }
 
--- a/crates/waxwing-vm/src/peers.rs
+++ b/crates/waxwing-vm/src/peers.rs
@@ -6,6 +6,7 @@
 use std::time;
 
 use waxwing_machine::membership;
+use waxwing_machine::region_digest;
 use waxwing_process::clock;
 use waxwing_protocol::peer;
 
@@ -70,7 +71,9 @@
 pub fn run_heartbeats(vm: &vm::Vm) {
     for round in 0_u64.. {
         send_heartbeats(vm);
-        digests::send(vm);
+        if region_digest::is_due(round) {
+            digests::send(vm);
+        }
         if round.is_multiple_of(HEARTBEATS_PER_LINK_REPORT) {
             send_link_bandwidth(vm);
         }
