--- a/crates/waxwing-vm/src/account.rs
+++ b/crates/waxwing-vm/src/account.rs
@@ -266,7 +266,7 @@
         self.token_wait.wait_max(now, latency_objective)
     }
 
-    /// Asks the next lender on behalf of later requests, as nothing is known to be left for this one.
+    /// Asks the next lender for a token that later requests may use; this one is refused, or waits.
     pub(crate) fn probe_request(
         &mut self,
         now: units_time::MonoInstant,
