--- a/crates/waxwing-machine/src/region_digest.rs
+++ b/crates/waxwing-machine/src/region_digest.rs
@@ -1,7 +1,7 @@
 //! The heartbeats of a region in one message, for the machines of other regions.
 //!
 //! If every machine sent its heartbeats to all others, the bytes between regions would grow with the
-//! square of the fleet. In a large fleet machines send them within their region only. One machine of
+//! square of the fleet. In a fleet of some size machines send them within their region only. One machine of
 //! each region, the relay, sends a digest of its region to the relay of each other region, which
 //! passes it on to the machines of its own. Machines need not agree on the relay: a digest that comes
 //! twice is passed on once, and one that reaches another machine is passed to the relay.
@@ -21,6 +21,10 @@
 /// then, and a machine's end is noticed sooner.
 pub const DIRECT_MEMBERS_MAX: usize = 48;
 
+/// The number of members above which machines send heartbeats to each other again: the link of one relay
+/// would carry too much of what all machines of its region have to know.
+pub const DIGEST_MEMBERS_MAX: usize = 128;
+
 /// The most entries of one digest, so that it fits into a datagram.
 pub const ENTRIES_MAX: usize = 24;
 
--- a/crates/waxwing-vm/src/digests.rs
+++ b/crates/waxwing-vm/src/digests.rs
@@ -9,9 +9,12 @@
 use crate::peers;
 use crate::vm;
 
-/// Returns whether the fleet is so large that heartbeats cross regions in digests only.
+/// Returns whether the fleet has a size at which heartbeats cross regions in digests only.
 pub fn are_used(vm: &vm::Vm) -> bool {
-    vm.membership.lock().len() > vm.settings().settings.direct_heartbeats_max
+    let members = vm.membership.lock().len();
+    let checked = vm.settings();
+    let settings = &checked.settings;
+    members > settings.direct_heartbeats_max && members <= settings.digests_max
 }
 
 /// Returns whether a machine is in this VM's region.
--- a/crates/waxwing-vm/src/settings.rs
+++ b/crates/waxwing-vm/src/settings.rs
@@ -91,6 +91,9 @@
     /// The number of members up to which heartbeats are sent to all machines; in a larger fleet they
     /// cross regions in digests.
     pub direct_heartbeats_max: usize,
+    /// The number of members up to which heartbeats cross regions in digests; in a larger fleet they are
+    /// sent to all machines.
+    pub digests_max: usize,
     /// The number of home servers of an object, which share the requests that concern it.
     pub homes: usize,
     /// Requests that may queue at a backend server for each of its slots.
@@ -132,6 +135,7 @@
             answer_validity: units_time::Millis(1_000),
             registration_lease: units_time::Millis(10_000),
             direct_heartbeats_max: region_digest::DIRECT_MEMBERS_MAX,
+            digests_max: region_digest::DIGEST_MEMBERS_MAX,
             homes: 2,
             queued_per_slot_max: 1,
             waiting_max: 8,
