--- a/crates/waxwing-vm/src/settings.rs
+++ b/crates/waxwing-vm/src/settings.rs
@@ -138,7 +138,7 @@
             digests_max: region_digest::DIGEST_MEMBERS_MAX,
             homes: 2,
             queued_per_slot_max: 1,
-            waiting_max: 8,
+            waiting_max: 0,
             repeats_ratio: ratio::Permille(100),
             repeats_slack: 20,
             contract_slack: rate::Tokens(0),
