feat(vm): failed reads of the store say how far they came and what is missing

A failed call was logged once per row of failures, as "the call timed out". That can't tell a link too slow for the value from a store that does not respond. The line now has the bytes received of those stated, when the last piece arrived, the configuration in force and the newest known; it comes at the 1st, 2nd, 4th and 8th failure. /status and the metrics name the newest known version.

--- /dev/null
+++ b/crates/waxwing-machine/src/transfer.rs
@@ -0,0 +1,50 @@
+//! Progress of a message that is received in pieces.
+
+use std::fmt;
+
+use waxwing_units::size;
+use waxwing_units::time as units_time;
+
+/// How much of a message has arrived, and when.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Transfer {
+    started_at: units_time::MonoInstant,
+    progressed_at: units_time::MonoInstant,
+    received: size::Bytes,
+    /// The length that the sender stated; `None` until it has, or if it states none.
+    declared: Option<size::Bytes>,
+}
+
+impl Transfer {
+    /// Starts a transfer of which nothing has arrived.
+    pub const fn begin(now: units_time::MonoInstant) -> Self {
+        Self { started_at: now, progressed_at: now, received: size::Bytes(0), declared: None }
+    }
+
+    /// Records the length that the sender states before the content, which is progress as well.
+    pub const fn record_length(
+        &mut self,
+        now: units_time::MonoInstant,
+        declared: Option<size::Bytes>,
+    ) {
+        self.progressed_at = now;
+        self.declared = declared;
+    }
+
+    /// Records the arrival of a piece of the content.
+    pub const fn record_piece(&mut self, now: units_time::MonoInstant, len: size::Bytes) {
+        self.progressed_at = now;
+        self.received = size::Bytes(self.received.0.saturating_add(len.0));
+    }
+}
+
+impl fmt::Display for Transfer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let lasted_ms = self.progressed_at.since(self.started_at).as_millis();
+        match self.declared {
+            Some(declared) => write!(f, "{} of {declared}", self.received)?,
+            None => write!(f, "{}", self.received)?,
+        }
+        write!(f, " received, the last after {lasted_ms} ms")
+    }
+}
--- a/crates/waxwing-vm/src/counters.rs
+++ b/crates/waxwing-vm/src/counters.rs
@@ -98,6 +98,11 @@
     gauge("waxwing_configuration_version", "Version of the configuration in force", |vm| {
         vm.table().map_or(0, |table| table.version().0)
     });
+    gauge(
+        "waxwing_configuration_newest_version",
+        "Newest version of the configuration that any machine is known to have",
+        |vm| vm.active_configuration().newest_known().map_or(0, |version| version.0),
+    );
     gauge(
         "waxwing_configuration_age_ms",
         "Time since the configuration was last confirmed as the newest, in milliseconds",
--- a/crates/waxwing-vm/src/store_poll.rs
+++ b/crates/waxwing-vm/src/store_poll.rs
@@ -127,8 +127,8 @@
     (apply_max.min(withdrawal_max) / store_reader::READS_PER_BOUND).min(POLL_INTERVAL_MAX)
 }
 
-/// Records whether a call to the store succeeded, and logs the first failure and the recovery;
-/// `failures_in_a_row` counts the failures since the last success.
+/// Records whether a call to the store succeeded, and logs the recovery and, ever more rarely, the
+/// failures; `failures_in_a_row` counts those since the last success.
 fn record_store_call(
     vm: &vm::Vm,
     what: &str,
@@ -137,13 +137,23 @@
 ) {
     vm.reaches_store.store(error.is_none(), atomic::Ordering::Release);
     match error {
-        Some(error) if *failures_in_a_row == 0 => {
-            log::warn!("the store does not tell the {what}: {error}")
+        Some(error) => {
+            *failures_in_a_row = failures_in_a_row.saturating_add(1);
+            if failures_in_a_row.is_power_of_two() {
+                let known = vm.active_configuration().versions();
+                log::warn!(
+                    "the store does not tell the {what}: {error}; failures in a row: \
+                     {failures_in_a_row}; {known}"
+                );
+            }
+        }
+        None => {
+            if *failures_in_a_row > 0 {
+                log::info!("the store tells the {what} again, after {failures_in_a_row} failures");
+            }
+            *failures_in_a_row = 0;
         }
-        None if *failures_in_a_row > 0 => log::info!("the store tells the {what} again"),
-        _ => (),
     }
-    *failures_in_a_row = if error.is_none() { 0 } else { failures_in_a_row.saturating_add(1) };
 }
 
 /// Puts a newer configuration in force; an older one is ignored.
--- a/crates/waxwing-vm/src/vm.rs
+++ b/crates/waxwing-vm/src/vm.rs
@@ -59,11 +59,24 @@
 }
 
 impl ActiveConfiguration {
+    /// Returns the newest version that any VM is known to have, this one included.
+    pub fn newest_known(&self) -> Option<table::Version> {
+        self.table.as_ref().map(|table| table.version()).max(self.newest_version)
+    }
+
     /// Returns whether a newer configuration than `version` is known; false if that is unknown.
     pub fn is_newer_than(&self, version: Option<table::Version>) -> bool {
-        let active = self.table.as_ref().map(|table| table.version());
-        let newest = active.max(self.newest_version);
-        version.is_some_and(|version| newest > Some(version))
+        version.is_some_and(|version| self.newest_known() > Some(version))
+    }
+
+    /// Returns the versions in force and known, for log lines.
+    pub fn versions(&self) -> String {
+        let in_force = self.table.as_ref().map(|table| table.version());
+        let newest = self.newest_known();
+        let text = |version: Option<table::Version>| {
+            version.map_or_else(|| "none".to_owned(), |version| version.to_string())
+        };
+        format!("configuration in force: {}, newest known: {}", text(in_force), text(newest))
     }
 
     /// Adds evacuated failure domains that a store query found which proves nothing about the end
@@ -366,6 +379,7 @@
         serde_json::json!({
             "vm": self.info.vm,
             "version": active_configuration.table.as_ref().map(|table| table.version().0),
+            "newest_version": active_configuration.newest_known().map(|version| version.0),
             "version_age_ms": age.and_then(|age| u64::try_from(age).ok()),
             "evacuated": active_configuration.evacuated,
             "members": membership.len(),
