fix(vm): the reader of a region hands a new configuration on to its machines

A machine kept an old configuration although another of its region had the newer one: the reader passed on its number alone, and each machine fetched all of it from the store, over its own link, all of them at once. That cost each narrow link the whole value at each version.

The reader now answers with the changes from the configuration that the machine has, or with the whole table if it does not keep that one (it keeps the last four). Changes name the table that they lead to by a fingerprint; a receiver that would end up with another one reads the store itself. Only a reader with the same fingerprint confirms the age of a configuration. A machine that is reading the store when the reader's changes arrive gives up the read. Messages have the limits of calls to the store: no progress for 600 ms, not 600 ms as a whole. Their frames are of version 2: machines of other releases read the store themselves. The polling of the configuration has a module of its own.

--- a/crates/waxwing-protocol/src/frame.rs
+++ b/crates/waxwing-protocol/src/frame.rs
@@ -11,7 +11,7 @@
 /// Bytes of the frame header: four for the payload length and one for the version.
 pub const HEADER_LEN_BYTES: usize = 5;
 
-/// The protocol version that this release writes and accepts.
+/// The version of the messages between the processes of a machine, and between keepers.
 pub const VERSION: u8 = 1;
 
 /// The largest payload that is written or read, in bytes.
@@ -27,10 +27,12 @@
     #[error("stream error: {0}")]
     Io(#[from] io::Error),
     /// The frame has another protocol version.
-    #[error("unsupported frame version {version}; this release reads version {VERSION}")]
+    #[error("unsupported frame version {version}; this release reads version {expected}")]
     Version {
         /// The version in the header.
         version: u8,
+        /// The version that this release reads.
+        expected: u8,
     },
     /// The payload exceeds [`FRAME_MAX_BYTES`].
     #[error("frame payload of {len_bytes} bytes exceeds the limit of {FRAME_MAX_BYTES}")]
@@ -43,13 +45,22 @@
     Content(#[from] postcard::Error),
 }
 
-/// Encodes a message as a frame, including the header.
+/// Encodes a message as a frame of [`VERSION`], including the header.
 ///
 /// # Errors
 ///
 /// Returns [`Error::TooLarge`] if the payload exceeds [`FRAME_MAX_BYTES`], and [`Error::Content`]
 /// if the message can't be encoded.
 pub fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>> {
+    encode_as(VERSION, message)
+}
+
+/// Encodes a message as a frame of the given version, including the header.
+///
+/// # Errors
+///
+/// Returns the same errors as [`encode`].
+pub fn encode_as<T: Serialize>(version: u8, message: &T) -> Result<Vec<u8>> {
     let mut bytes = vec![0; HEADER_LEN_BYTES];
     bytes = postcard::to_extend(message, bytes)?;
     let len_bytes = bytes.len() - HEADER_LEN_BYTES;
@@ -58,19 +69,20 @@
         return Err(Error::TooLarge { len_bytes });
     }
     bytes[..4].copy_from_slice(&len.to_be_bytes());
-    bytes[4] = VERSION;
+    bytes[4] = version;
     Ok(bytes)
 }
 
-/// Validates a frame header and returns the length of the payload that follows, in bytes.
+/// Validates the header of a frame of the given version and returns the length of the payload that
+/// follows, in bytes.
 ///
 /// # Errors
 ///
 /// Returns an error if the frame has another version or is too large.
-pub fn content_len_bytes(header: [u8; HEADER_LEN_BYTES]) -> Result<usize> {
+pub fn content_len_bytes(expected: u8, header: [u8; HEADER_LEN_BYTES]) -> Result<usize> {
     let [a, b, c, d, version] = header;
-    if version != VERSION {
-        return Err(Error::Version { version });
+    if version != expected {
+        return Err(Error::Version { version, expected });
     }
     let len_bytes = u32::from_be_bytes([a, b, c, d]) as usize;
     if len_bytes > FRAME_MAX_BYTES {
@@ -96,7 +108,7 @@
 pub fn read<T: de::DeserializeOwned>(stream: &mut impl io::Read) -> Result<T> {
     let mut header = [0; HEADER_LEN_BYTES];
     stream.read_exact(&mut header)?;
-    let mut payload = vec![0; content_len_bytes(header)?];
+    let mut payload = vec![0; content_len_bytes(VERSION, header)?];
     stream.read_exact(&mut payload)?;
     decode(&payload)
 }
--- a/crates/waxwing-protocol/src/replication.rs
+++ b/crates/waxwing-protocol/src/replication.rs
@@ -5,13 +5,21 @@
 //! A response carries the age of each piece of state. The receiver subtracts that age from the time
 //! at which it sent the request, so a delay on the network or a stalled reader can only make the
 //! state look older than it is, never newer.
+//!
+//! Releases of another [`VERSION`] don't understand each other; their machines read the store
+//! themselves until all run the same release.
 
 use serde::{Deserialize, Serialize};
 use waxwing_machine::membership;
 use waxwing_machine::server_list;
+use waxwing_route::changes;
+use waxwing_route::table;
 use waxwing_units::id;
 use waxwing_units::time as units_time;
 
+/// The version of the frames that these messages are sent in.
+pub const VERSION: u8 = 2;
+
 /// Requests what has changed since an earlier response.
 ///
 /// Versions are meaningful only to the incarnation of the reader that assigned them. After a
@@ -24,10 +32,12 @@
     pub servers_version: u64,
     /// The version of the replica of the member list; zero if there is none.
     pub members_version: u64,
+    /// The configuration in force at the requester; `None` if there is none.
+    pub configuration: Option<table::Fingerprint>,
 }
 
 /// The state of the store as the reader knows it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Response {
     /// The incarnation of the reader, which the versions in this response belong to.
     pub reader_incarnation: id::Incarnation,
@@ -39,11 +49,15 @@
     pub members: Option<Members>,
 }
 
-/// Identifies the newest configuration; its content is not sent.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+/// The configuration in force at the reader.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Configuration {
-    /// The version number of the configuration in the store.
-    pub version: u64,
+    /// The version that operators gave it.
+    pub version: table::Version,
+    /// What identifies its content.
+    pub fingerprint: table::Fingerprint,
+    /// The changes that lead to it; `None` if the requester has it in force.
+    pub changes: Option<changes::Changes>,
     /// Failure domains whose backend servers get no requests, sorted.
     pub evacuated: Vec<id::FailureDomainId>,
     /// The time since the reader sent the read request to the store.
--- a/crates/waxwing-request/src/attempt.rs
+++ b/crates/waxwing-request/src/attempt.rs
@@ -67,7 +67,9 @@
 ];
 
 /// Whether a request may be run more than once.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+)]
 pub enum Repeatability {
     /// Running the request again has no further effect.
     Idempotent,
--- a/crates/waxwing-route/src/lib.rs
+++ b/crates/waxwing-route/src/lib.rs
@@ -6,8 +6,10 @@
 //! * [`route`]: one route with its match, limits and services, and the routes of one host.
 //! * [`policy`]: the limits of organisations, of services and of single requests.
 //! * [`split`]: splits a route's requests among its services by weight.
+//! * [`changes`]: the differences between two tables.
 //! * [`staleness`]: how old the table may be before keys are no longer accepted.
 
+pub mod changes;
 pub mod policy;
 pub mod route;
 pub mod split;
--- a/crates/waxwing-route/src/policy.rs
+++ b/crates/waxwing-route/src/policy.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use serde::{Deserialize, Serialize};
 use waxwing_units::digest;
 use waxwing_units::id;
 use waxwing_units::rate;
@@ -10,7 +11,7 @@
 use crate::route;
 
 /// An organisation with its keys and the limits on its requests.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Organisation {
     /// The organisation's name, by which a table sorts its organisations.
     pub organisation: id::OrganisationId,
@@ -25,7 +26,7 @@
 }
 
 /// A token bucket that holds over all machines together.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RateLimit {
     /// How fast the bucket refills; one request takes one token.
     pub rate_per_second: rate::TokenRate,
@@ -34,7 +35,7 @@
 }
 
 /// The limits that hold for each backend server of a service.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// The service's name, by which a table sorts its services.
     pub service: id::ServiceId,
@@ -45,7 +46,7 @@
 }
 
 /// The limits on requests and connections that hold for all callers.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// The largest request body, in bytes.
     pub body_max_bytes: size::Bytes,
--- a/crates/waxwing-route/src/route.rs
+++ b/crates/waxwing-route/src/route.rs
@@ -2,15 +2,16 @@
 
 use std::time;
 
+use serde::{Deserialize, Serialize};
 use waxwing_request::attempt;
 use waxwing_units::id;
 
 /// The priority of a request; 0 is the most urgent.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Priority(pub u32);
 
 /// A service with its weight in a route's traffic split.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WeightedService {
     /// The service that requests are sent to.
     pub service: id::ServiceId,
@@ -20,7 +21,7 @@
 }
 
 /// How requests to a host are handled if their path begins with a prefix.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// The route's name, as shown in log lines.
     pub name: String,
@@ -49,7 +50,7 @@
 }
 
 /// The routes of one virtual host, sorted by prefix.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Host {
     /// The host name, in lower case.
     pub host: String,
--- a/crates/waxwing-route/src/table.rs
+++ b/crates/waxwing-route/src/table.rs
@@ -1,15 +1,20 @@
 //! The routing table: all routes, services and organisations of one configuration version.
 
 use std::fmt;
+use std::num;
+use std::str;
 
+use serde::{Deserialize, Serialize};
 use waxwing_units::digest;
 use waxwing_units::id;
+use xxhash_rust::xxh3;
 
 use crate::policy;
 use crate::route;
 
 /// The version that operators give a configuration; a higher one replaces a lower one.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct Version(pub u64);
 
 impl fmt::Display for Version {
@@ -18,6 +23,27 @@
     }
 }
 
+/// Identifies the content of a table, on any machine.
+///
+/// A version number does not: a store that was restored from a copy may issue one twice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Fingerprint(pub u64);
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl str::FromStr for Fingerprint {
+    type Err = num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, num::ParseIntError> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
 /// The digest of a key and the organisation that it belongs to.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Key {
@@ -37,6 +63,7 @@
     keys: Vec<Key>,
     limits: policy::CallerLimits,
     most_urgent: route::Priority,
+    fingerprint: Fingerprint,
 }
 
 /// Who sent a request, as determined by the route and the key.
@@ -65,7 +92,21 @@
         let mut keys: Vec<Key> = organisations.iter().flat_map(keys_of).collect();
         keys.sort_by_key(|key| key.digest);
         let most_urgent = most_urgent(&hosts, &organisations);
-        Self { version, hosts, services, organisations, keys, limits, most_urgent }
+        let content = (version, &hosts, &services, &organisations, &limits);
+        // Encoding into memory does not fail.
+        let encoded = postcard::to_stdvec(&content).unwrap_or_default();
+        let fingerprint = Fingerprint(xxh3::xxh3_64(&encoded));
+        Self { version, hosts, services, organisations, keys, limits, most_urgent, fingerprint }
+    }
+
+    /// Returns what identifies the content of the table.
+    pub const fn fingerprint(&self) -> Fingerprint {
+        self.fingerprint
+    }
+
+    /// Returns all hosts with their routes, sorted by name.
+    pub fn hosts(&self) -> &[route::Host] {
+        &self.hosts
     }
 
     /// Returns the version that operators gave the configuration.
--- a/crates/waxwing-vm/src/lib.rs
+++ b/crates/waxwing-vm/src/lib.rs
@@ -34,7 +34,9 @@
 //! * [`arrival_rate`]: the average number of requests per second.
 //! * [`store_replica`]: replicates the platform's store from one entry VM of a region to the
 //!   others.
-//! * [`store_poll`]: reads configuration, backend servers and members from the platform's store.
+//! * [`replication_connection`]: the connection between them, given up without progress.
+//! * [`configuration_poll`]: reads the configuration from the platform's store, or from another VM.
+//! * [`store_poll`]: reads backend servers and members from the platform's store.
 //! * [`registration`]: keeps this VM registered in the store.
 //! * [`reconcile`]: recomputes contract shares and server pools from configuration and membership.
 //! * [`vm`]: the state that the other modules share.
@@ -44,6 +46,7 @@
 pub mod arrival_rate;
 pub mod body;
 pub mod caller_connection;
+pub mod configuration_poll;
 pub mod connection_pool;
 pub mod contracts;
 pub mod counters;
@@ -60,6 +63,7 @@
 pub mod reconcile;
 pub mod refusal;
 pub mod registration;
+pub mod replication_connection;
 pub mod request_admission;
 pub mod request_reader;
 pub mod response_guard;
--- a/crates/waxwing-vm/src/run.rs
+++ b/crates/waxwing-vm/src/run.rs
@@ -22,6 +22,7 @@
 use waxwing_timeline::event;
 
 use crate::caller_connection;
+use crate::configuration_poll;
 use crate::counters;
 use crate::directory;
 use crate::forward;
@@ -115,7 +116,7 @@
 
 fn spawn_store_tasks<R: registry::Registry + 'static>(vm: &vm::Shared, registry: &sync::Arc<R>) {
     let server_set = reconcile::SharedServerSet::default();
-    ntex::rt::spawn(store_poll::poll_configuration(vm.clone(), registry.clone()));
+    ntex::rt::spawn(configuration_poll::poll_configuration(vm.clone(), registry.clone()));
     ntex::rt::spawn(store_poll::poll_servers(vm.clone(), registry.clone(), server_set.clone()));
     ntex::rt::spawn(registration::keep_registered(vm.clone(), registry.clone()));
     ntex::rt::spawn(store_poll::poll_members(vm.clone(), registry.clone()));
--- a/crates/waxwing-vm/src/store_poll.rs
+++ b/crates/waxwing-vm/src/store_poll.rs
@@ -1,5 +1,5 @@
-//! Polls the platform's store for the configuration, the backend servers and the members of the
-//! fleet.
+//! Polls the platform's store for the backend servers and the members of the fleet, and decides when
+//! this VM reads the store itself.
 //!
 //! In each region one VM reads the store at short intervals; the others get its results through
 //! [`crate::store_replica`] and read the store themselves only when those get old.
@@ -14,8 +14,6 @@
 use waxwing_platform::registry;
 use waxwing_process::clock;
 use waxwing_process::timer;
-use waxwing_protocol::replication;
-use waxwing_route::table;
 use waxwing_units::time as units_time;
 
 use crate::peers;
@@ -23,15 +21,11 @@
 use crate::vm;
 
 /// The longest interval between two reads of the configuration or the backend servers.
-const POLL_INTERVAL_MAX: time::Duration = time::Duration::from_secs(1);
+pub const POLL_INTERVAL_MAX: time::Duration = time::Duration::from_secs(1);
 
 /// How soon the store is read again while it may lack what was written before: after an outage, in
 /// which registrations may have expired, and after a restoration.
-const UNSETTLED_POLL_INTERVAL: time::Duration = time::Duration::from_millis(200);
-
-/// The number of reads without a confirmation after which they become rarer and a line tells why; the
-/// store may lack writes for less time.
-const UNCONFIRMED_READS_MAX: u32 = 15;
+pub const UNSETTLED_POLL_INTERVAL: time::Duration = time::Duration::from_millis(200);
 
 /// How often a VM checks whether it has become the reader of its region.
 const READER_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(200);
@@ -39,69 +33,8 @@
 /// How often members are read.
 const MEMBERS_POLL_INTERVAL: time::Duration = time::Duration::from_secs(2);
 
-/// Polls the configuration; never returns.
-pub async fn poll_configuration<R: registry::Registry>(vm: vm::Shared, registry: sync::Arc<R>) {
-    let mut failures_in_a_row = 0;
-    let mut unconfirmed_in_a_row = 0;
-    loop {
-        let requested_at = clock::now();
-        let result = registry.configuration().await;
-        log::debug!(
-            "configuration query sent at {requested_at}, error: {:?}",
-            result.as_ref().err()
-        );
-        vm.counters.count_store_call("configuration", result.is_ok());
-        record_store_call(&vm, "configuration", &mut failures_in_a_row, result.as_ref().err());
-        match result {
-            Ok(update) => {
-                vm.enter_store_era(registry.era());
-                let is_confirmed = activate(&vm, update, requested_at);
-                unconfirmed_in_a_row = match is_confirmed {
-                    true => 0,
-                    false => record_unconfirmed(&vm, unconfirmed_in_a_row),
-                };
-                if !is_confirmed {
-                    timer::sleep(unsettled_poll_interval(unconfirmed_in_a_row)).await;
-                }
-            }
-            Err(_) => {
-                timer::sleep(store_reader::retry_backoff(failures_in_a_row, vm.is_store_reader()))
-                    .await
-            }
-        }
-        let known_at = || match vm.needs_newer_table.load(atomic::Ordering::Acquire) {
-            true => None,
-            false => vm.active_configuration.lock().confirmed_at,
-        };
-        wait_for_direct_read(&vm, configuration_poll_interval(&vm), known_at).await;
-    }
-}
-
-/// Counts a read that did not confirm the configuration, and logs once why keys may be refused.
-fn record_unconfirmed(vm: &vm::Vm, unconfirmed_in_a_row: u32) -> u32 {
-    let unconfirmed_in_a_row = unconfirmed_in_a_row.saturating_add(1);
-    if unconfirmed_in_a_row == UNCONFIRMED_READS_MAX {
-        let active = vm.active_configuration();
-        let version = active.table.map(|table| table.version());
-        log::warn!(
-            "the store holds an older configuration than {version:?} or {:?}, which another machine \
-             has; it confirms nothing",
-            active.newest_version
-        );
-    }
-    unconfirmed_in_a_row
-}
-
-/// Returns how soon the configuration is read again after a read that confirmed nothing.
-const fn unsettled_poll_interval(unconfirmed_in_a_row: u32) -> time::Duration {
-    match unconfirmed_in_a_row < UNCONFIRMED_READS_MAX {
-        true => UNSETTLED_POLL_INTERVAL,
-        false => POLL_INTERVAL_MAX,
-    }
-}
-
 /// Waits until this VM has to read the store itself; `known_at` is when its present data was read.
-async fn wait_for_direct_read(
+pub async fn wait_for_direct_read(
     vm: &vm::Vm,
     interval: time::Duration,
     known_at: impl Fn() -> Option<units_time::MonoInstant>,
@@ -116,20 +49,9 @@
     }
 }
 
-/// Returns the interval at which the configuration is read.
-///
-/// Where withdrawn keys have to stop working sooner than a new configuration has to be in force,
-/// the shorter bound decides.
-fn configuration_poll_interval(vm: &vm::Vm) -> time::Duration {
-    let settings = vm.settings();
-    let apply_max = settings.settings.apply_max.duration();
-    let withdrawal_max = settings.settings.withdrawal_max.map_or(apply_max, |max| max.duration());
-    (apply_max.min(withdrawal_max) / store_reader::READS_PER_BOUND).min(POLL_INTERVAL_MAX)
-}
-
 /// Records whether a call to the store succeeded, and logs the recovery and, ever more rarely, the
 /// failures; `failures_in_a_row` counts those since the last success.
-fn record_store_call(
+pub fn record_store_call(
     vm: &vm::Vm,
     what: &str,
     failures_in_a_row: &mut u32,
@@ -156,62 +78,6 @@
     }
 }
 
-/// Puts a newer configuration in force; an older one is ignored.
-///
-/// Returns whether the store confirmed the configuration: it does not while it may lack writes that
-/// a restoration undid.
-fn activate(
-    vm: &vm::Vm,
-    update: registry::ConfigurationUpdate,
-    requested_at: units_time::MonoInstant,
-) -> bool {
-    let has_settled = vm.store_history.lock().unsettled_since(requested_at).is_none();
-    let (has_changed, is_confirmed) = {
-        let mut active = vm.active_configuration.lock();
-        let mut has_changed = false;
-        if let Some(table) = update.table {
-            let version = active.table.as_ref().map(|table| table.version());
-            if version <= Some(table.version()) {
-                log::info!("version {} of the configuration is in force", table.version());
-                active.table = Some(sync::Arc::new(table));
-                has_changed = true;
-            }
-        }
-        let is_confirmed = has_settled && !active.is_newer_than(update.stored_version);
-        has_changed |= match is_confirmed {
-            true => active.confirm(requested_at, update.evacuated),
-            false => active.add_evacuated(update.evacuated),
-        };
-        (has_changed, is_confirmed)
-    };
-    vm.needs_newer_table.store(false, atomic::Ordering::Release);
-    if has_changed {
-        reconcile::update_shares(vm);
-        vm.start_progressed.notify_waiters();
-    }
-    is_confirmed
-}
-
-/// Applies what another VM knows of the configuration.
-///
-/// The message carries only the version: a newer configuration is read from the store, and until
-/// then nothing confirms the age of the present one.
-pub fn apply_peer_configuration(
-    vm: &vm::Vm,
-    known_at: units_time::MonoInstant,
-    peer_configuration: replication::Configuration,
-) {
-    let mut active = vm.active_configuration.lock();
-    let version = active.table.as_ref().map(|table| table.version().0);
-    if version < Some(peer_configuration.version) {
-        let newest = table::Version(peer_configuration.version);
-        active.newest_version = active.newest_version.max(Some(newest));
-        vm.needs_newer_table.store(true, atomic::Ordering::Release);
-    } else if version == Some(peer_configuration.version) {
-        active.confirm(known_at, peer_configuration.evacuated);
-    }
-}
-
 /// Polls the backend servers; never returns.
 pub async fn poll_servers<R: registry::Registry>(
     vm: vm::Shared,
--- a/crates/waxwing-vm/src/store_replica.rs
+++ b/crates/waxwing-vm/src/store_replica.rs
@@ -6,13 +6,11 @@
 //! accepted.
 
 use std::net;
+use std::sync;
 use std::sync::atomic;
 use std::time;
 
 use parking_lot::Mutex;
-use serde::Serialize;
-use serde::de;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net as tokio_net;
 use waxwing_machine::membership;
 use waxwing_machine::server_list;
@@ -20,27 +18,31 @@
 use waxwing_machine::store_reader;
 use waxwing_process::clock;
 use waxwing_process::timer;
-use waxwing_protocol::frame;
 use waxwing_protocol::replication;
+use waxwing_route::changes;
+use waxwing_route::table;
 use waxwing_units::id;
 use waxwing_units::time as units_time;
 
+use crate::configuration_poll;
 use crate::reconcile;
+use crate::replication_connection;
 use crate::store_poll;
 use crate::vm;
 
 /// How often the reader is asked within the time in which a change has to be known.
 const POLLS_PER_BOUND: u32 = 10;
 
-/// How long the reader's response may take.
-const RESPONSE_TIMEOUT: time::Duration = time::Duration::from_millis(600);
+/// The number of configurations that are kept, so that machines that have one of them receive only
+/// the changes since.
+const TABLES_MAX: usize = 4;
+
+/// How long nothing is accepted after that has failed.
+const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(600);
 
 /// How long a connection may be idle before it is closed.
 const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 
-/// The result of sending or receiving a message.
-type Result<T> = std::result::Result<T, frame::Error>;
-
 /// What this VM knows of the store, in a form that others can replicate.
 #[derive(Debug, Default)]
 pub struct StoreReplica {
@@ -55,6 +57,8 @@
     members: membership::MemberList,
     members_version: u64,
     members_at: Option<units_time::MonoInstant>,
+    /// The last configurations that were in force, the newest last.
+    tables: Vec<sync::Arc<table::Table>>,
 }
 
 impl StoreReplica {
@@ -90,6 +94,30 @@
         state.last_failure_at = state.last_failure_at.max(Some(requested_at));
     }
 
+    /// Records that a configuration was put in force.
+    pub fn record_table(&self, table: sync::Arc<table::Table>) {
+        let mut state = self.state.lock();
+        state.tables.push(table);
+        let excess = state.tables.len().saturating_sub(TABLES_MAX);
+        state.tables.drain(..excess);
+    }
+
+    /// Returns the changes from the configuration that a machine has to `table`, or the whole of it;
+    /// `None` if the machine has it.
+    fn table_changes(
+        &self,
+        known: Option<table::Fingerprint>,
+        table: &table::Table,
+    ) -> Option<changes::Changes> {
+        if known == Some(table.fingerprint()) {
+            return None;
+        }
+        let state = self.state.lock();
+        let base = state.tables.iter().find(|base| known == Some(base.fingerprint())).cloned();
+        drop(state);
+        Some(changes::Changes::between(base.as_deref(), table))
+    }
+
     /// Records the members that the store listed for a query sent at `requested_at`.
     pub fn record_members(
         &self,
@@ -118,20 +146,21 @@
 /// another incarnation.
 fn replica_update(vm: &vm::Vm, query: replication::Request) -> replication::Response {
     let now = clock::now();
+    let known_table = query.configuration;
     let query = if query.reader_incarnation == vm.info.started {
         query
     } else {
         replication::Request::default()
     };
     let active = vm.active_configuration();
-    let configuration = active.table.zip(active.confirmed_at).map(|(table, at)| {
-        let age_ms = age_ms(now, at);
-        replication::Configuration {
-            version: table.version().0,
+    let configuration =
+        active.table.zip(active.confirmed_at).map(|(table, at)| replication::Configuration {
+            version: table.version(),
+            fingerprint: table.fingerprint(),
+            changes: vm.store_replica.table_changes(known_table, &table),
             evacuated: active.evacuated,
-            age_ms,
-        }
-    });
+            age_ms: age_ms(now, at),
+        });
     let newest_era = vm.store_history.lock().era();
     let state = vm.store_replica.state.lock();
     // The receiver learns the era from the members; servers of a newer one would look as if those that
@@ -157,50 +186,38 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                ntex::rt::spawn(serve_peer(vm.clone(), stream));
+                let connection = replication_connection::Connection::accepted(stream);
+                ntex::rt::spawn(serve_peer(vm.clone(), connection));
             }
             Err(error) => {
                 log::info!("can't accept a replication connection: {error}");
-                timer::sleep(RESPONSE_TIMEOUT).await;
+                timer::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
 }
 
-async fn serve_peer(vm: vm::Shared, mut stream: tokio_net::TcpStream) {
+async fn serve_peer(vm: vm::Shared, mut connection: replication_connection::Connection) {
     loop {
-        let received =
-            timer::timeout(IDLE_TIMEOUT, read::<replication::Request>(&mut stream)).await;
-        let Ok(Ok(query)) = received else {
-            log::debug!("a replication connection ended: {received:?}");
-            return;
+        let query = match connection.receive(IDLE_TIMEOUT).await {
+            Ok(query) => query,
+            Err(error) => {
+                log::debug!("a replication connection ended: {error}");
+                return;
+            }
         };
         let update = replica_update(&vm, query);
-        let sent = timer::timeout(RESPONSE_TIMEOUT, write(&mut stream, &update)).await;
-        if !matches!(sent, Ok(Ok(()))) {
-            log::debug!("sending a replication response failed: {sent:?}");
+        if let Err(error) = connection.send(&update).await {
+            log::info!("sending a replication response failed: {error}");
             return;
         }
     }
 }
 
-async fn read<T: de::DeserializeOwned>(stream: &mut tokio_net::TcpStream) -> Result<T> {
-    let mut head = [0; frame::HEADER_LEN_BYTES];
-    stream.read_exact(&mut head).await?;
-    let mut content = vec![0; frame::content_len_bytes(head)?];
-    stream.read_exact(&mut content).await?;
-    frame::decode(&content)
-}
-
-async fn write<T: Serialize>(stream: &mut tokio_net::TcpStream, message: &T) -> Result<()> {
-    stream.write_all(&frame::encode(message)?).await?;
-    Ok(())
-}
-
 /// A connection to the reader, with what it has sent so far.
 struct ReaderConnection {
     vm: id::VmId,
-    stream: tokio_net::TcpStream,
+    connection: replication_connection::Connection,
     reader_incarnation: id::Incarnation,
     servers: server_list::Replica,
     members_version: u64,
@@ -218,21 +235,12 @@
             connection = None;
             continue;
         };
-        connection = match timer::timeout(
-            RESPONSE_TIMEOUT,
-            fetch_update(&vm, &servers, connection, &machine),
-        )
-        .await
-        {
-            Ok(Ok(connection)) => Some(connection),
-            Ok(Err(error)) => {
+        connection = match fetch_update(&vm, &servers, connection, &machine).await {
+            Ok(connection) => Some(connection),
+            Err(error) => {
                 log::info!("replication from machine {} failed: {error}", machine.vm);
                 None
             }
-            Err(timer::Elapsed) => {
-                log::info!("replication from machine {} timed out", machine.vm);
-                None
-            }
         };
     }
 }
@@ -265,31 +273,31 @@
 async fn fetch_update(
     vm: &vm::Shared,
     servers: &reconcile::SharedServerSet,
-    connection: Option<ReaderConnection>,
+    reader: Option<ReaderConnection>,
     machine: &membership::MachineInfo,
-) -> Result<ReaderConnection> {
-    let mut connection = match connection {
-        Some(connection) if connection.vm == machine.vm => connection,
+) -> replication_connection::Result<ReaderConnection> {
+    let mut reader = match reader {
+        Some(reader) if reader.vm == machine.vm => reader,
         _ => ReaderConnection::connect(machine).await?,
     };
     let requested_at = clock::now();
     let query = replication::Request {
-        reader_incarnation: connection.reader_incarnation,
-        servers_version: connection.servers.version(),
-        members_version: connection.members_version,
+        reader_incarnation: reader.reader_incarnation,
+        servers_version: reader.servers.version(),
+        members_version: reader.members_version,
+        configuration: vm.table().map(|table| table.fingerprint()),
     };
-    write(&mut connection.stream, &query).await?;
-    let update = read::<replication::Response>(&mut connection.stream).await?;
-    connection.apply(vm, servers, requested_at, update);
-    Ok(connection)
+    reader.connection.send(&query).await?;
+    let update = reader.connection.receive(replication_connection::PROGRESS_TIMEOUT).await?;
+    reader.apply(vm, servers, requested_at, update);
+    Ok(reader)
 }
 
 impl ReaderConnection {
-    async fn connect(machine: &membership::MachineInfo) -> Result<Self> {
-        let stream = tokio_net::TcpStream::connect(machine.peer_address).await?;
+    async fn connect(machine: &membership::MachineInfo) -> replication_connection::Result<Self> {
         Ok(Self {
             vm: machine.vm.clone(),
-            stream,
+            connection: replication_connection::Connection::connect(machine.peer_address).await?,
             reader_incarnation: id::Incarnation::default(),
             servers: server_list::Replica::default(),
             members_version: 0,
@@ -307,7 +315,7 @@
         self.reader_incarnation = update.reader_incarnation;
         let instant_of = |age_ms: units_time::Millis| requested_at.before(age_ms.duration());
         if let Some(configuration) = update.configuration {
-            store_poll::apply_peer_configuration(
+            configuration_poll::apply_peer_configuration(
                 vm,
                 instant_of(configuration.age_ms),
                 configuration,
--- a/crates/waxwing-vm/src/vm.rs
+++ b/crates/waxwing-vm/src/vm.rs
@@ -143,12 +143,15 @@
     pub store_history: Mutex<store_history::StoreHistory>,
     /// Whether the last call to the store succeeded.
     pub reaches_store: atomic::AtomicBool,
-    /// Whether another VM has a newer configuration, so that this one has to read the store.
+    /// Whether another VM has a newer configuration that it could not hand on, so that this one has to
+    /// read the store.
     pub needs_newer_table: atomic::AtomicBool,
     /// Whether the backend servers were read at least once, and are in the pools.
     pub has_servers: atomic::AtomicBool,
     /// Notified when a configuration or the servers are read for the first time.
     pub start_progressed: Notify,
+    /// Notified when another VM has brought a newer configuration or evacuation.
+    pub configuration_replicated: Notify,
     /// The members of the fleet and their heartbeats.
     pub membership: Mutex<membership::Membership>,
     /// The backend servers of all services.
@@ -204,6 +207,7 @@
             reaches_store: atomic::AtomicBool::new(true),
             needs_newer_table: atomic::AtomicBool::new(false),
             start_progressed: Notify::new(),
+            configuration_replicated: Notify::new(),
             has_servers: atomic::AtomicBool::new(false),
             pools: service_pools::ServicePools::default(),
             contracts: contracts::Contracts::default(),
