fix(vm): a region's reader has a wide link, and steps back while it can't read the configuration

All machines of a region wait for its reader, which was elected by its name alone. A reader with a narrow link delays each configuration by the time that it takes that link; one that could not fetch it at all still counted as reaching the store, since its smaller calls succeeded.

--- a/crates/waxwing-vm/src/configuration_poll.rs
+++ b/crates/waxwing-vm/src/configuration_poll.rs
@@ -33,7 +33,10 @@
     let mut unconfirmed_in_a_row = 0;
     loop {
         let requested_at = clock::now();
-        let Some(result) = read_unless_replicated(&vm, registry.as_ref()).await else {
+        vm.configuration_reads.lock().begin(requested_at);
+        let read = read_unless_replicated(&vm, registry.as_ref()).await;
+        record_read(&vm, read.as_ref());
+        let Some(result) = read else {
             continue;
         };
         log::debug!(
@@ -72,6 +75,17 @@
     }
 }
 
+/// Records how a read ended, of which the choice of the region's reader depends; `None` if it was given
+/// up.
+fn record_read(vm: &vm::Vm, read: Option<&registry::Result<registry::ConfigurationUpdate>>) {
+    let mut reads = vm.configuration_reads.lock();
+    match read {
+        Some(Ok(_)) => reads.succeed(),
+        Some(Err(_)) => reads.fail(clock::now(), false),
+        None => reads.fail(clock::now(), true),
+    }
+}
+
 /// Counts a read that did not confirm the configuration, and logs once why keys may be refused.
 fn record_unconfirmed(vm: &vm::Vm, unconfirmed_in_a_row: u32) -> u32 {
     let unconfirmed_in_a_row = unconfirmed_in_a_row.saturating_add(1);
--- a/crates/waxwing-vm/src/peers.rs
+++ b/crates/waxwing-vm/src/peers.rs
@@ -1,7 +1,6 @@
 //! Datagrams between entry VMs: heartbeats, and requests for and grants of token loans.
 
 use std::net;
-use std::sync::atomic;
 use std::thread;
 use std::time;
 
@@ -106,7 +105,7 @@
         revision: vm.membership.lock().revision(),
         phase: vm.phase(),
         store_steady_ms: vm.store_steady(),
-        reaches_store: vm.reaches_store.load(atomic::Ordering::Acquire),
+        reaches_store: vm.reaches_store(),
         requests_per_s: vm.arrival_rate.per_s(clock::now()),
     }
 }
--- a/crates/waxwing-vm/src/registration.rs
+++ b/crates/waxwing-vm/src/registration.rs
@@ -51,7 +51,7 @@
         };
         let is_reachable =
             !matches!(result, Err(registry::Error::NoAnswer(_) | registry::Error::Refused(_)));
-        vm.reaches_store.store(is_reachable, atomic::Ordering::Release);
+        vm.last_store_call_succeeded.store(is_reachable, atomic::Ordering::Release);
         let delay = match result {
             Ok(renewal) => {
                 record_registration(&vm, renewal);
--- a/crates/waxwing-vm/src/store_poll.rs
+++ b/crates/waxwing-vm/src/store_poll.rs
@@ -57,7 +57,7 @@
     failures_in_a_row: &mut u32,
     error: Option<&registry::Error>,
 ) {
-    vm.reaches_store.store(error.is_none(), atomic::Ordering::Release);
+    vm.last_store_call_succeeded.store(error.is_none(), atomic::Ordering::Release);
     match error {
         Some(error) => {
             *failures_in_a_row = failures_in_a_row.saturating_add(1);
--- a/crates/waxwing-vm/src/store_replica.rs
+++ b/crates/waxwing-vm/src/store_replica.rs
@@ -7,7 +7,6 @@
 
 use std::net;
 use std::sync;
-use std::sync::atomic;
 use std::time;
 
 use parking_lot::Mutex;
@@ -21,6 +20,7 @@
 use waxwing_protocol::replication;
 use waxwing_route::changes;
 use waxwing_route::table;
+use waxwing_units::bandwidth;
 use waxwing_units::id;
 use waxwing_units::time as units_time;
 
@@ -245,27 +245,31 @@
     }
 }
 
-/// Returns the reader of this region, which may be this VM. VMs that can reach the store are
-/// preferred.
+/// Returns the reader of this region, which may be this VM.
 pub fn elect_reader(vm: &vm::Vm) -> Option<membership::MachineInfo> {
     let settings = vm.settings();
     let local_region = settings.region_of(&vm.info.failure_domain);
+    let own_link = settings.settings.link_bandwidth;
+    let own_reach = vm.reaches_store();
     let membership = vm.membership.lock();
-    let mut candidates: Vec<(&membership::MachineInfo, bool)> = membership
-        .live_peers(clock::now())
-        .filter(|(machine, _)| settings.region_of(&machine.failure_domain) == local_region)
-        .collect();
+    let mut machines: Vec<(&membership::MachineInfo, bool, Option<bandwidth::Bandwidth>)> =
+        membership
+            .live_peers(clock::now())
+            .filter(|(machine, _)| settings.region_of(&machine.failure_domain) == local_region)
+            .map(|(machine, reaches)| (machine, reaches, membership.link_bandwidth(&machine.vm)))
+            .collect();
     if vm.stage() == vm::Stage::Serving {
-        candidates.push((&vm.info, vm.reaches_store.load(atomic::Ordering::Acquire)));
+        machines.push((&vm.info, own_reach, own_link));
     }
-    if candidates.iter().any(|(_, reaches_store)| *reaches_store) {
-        candidates.retain(|(_, reaches_store)| *reaches_store);
-    }
-    let reader = store_reader::elect(candidates.iter().map(|(machine, _)| &machine.vm))?;
-    candidates
-        .iter()
-        .find(|(machine, _)| machine.vm == *reader)
-        .map(|(machine, _)| (*machine).clone())
+    let candidates =
+        machines.iter().map(|(machine, reaches_store, link_bandwidth)| store_reader::Candidate {
+            vm: &machine.vm,
+            reaches_store: *reaches_store,
+            link_bandwidth: *link_bandwidth,
+        });
+    let reader = store_reader::elect(candidates)?;
+    let elected = machines.iter().find(|(machine, ..)| machine.vm == *reader);
+    elected.map(|(machine, ..)| (*machine).clone())
 }
 
 /// Sends a query to the reader, over the existing connection if it leads there, and applies the
--- a/crates/waxwing-vm/src/vm.rs
+++ b/crates/waxwing-vm/src/vm.rs
@@ -11,6 +11,7 @@
 use waxwing_machine::entry_vm;
 use waxwing_machine::membership;
 use waxwing_machine::store_history;
+use waxwing_machine::store_reader;
 use waxwing_process::clock;
 use waxwing_process::log_limiter;
 use waxwing_process::shutdown;
@@ -142,7 +143,9 @@
     /// The restorations of the store.
     pub store_history: Mutex<store_history::StoreHistory>,
     /// Whether the last call to the store succeeded.
-    pub reaches_store: atomic::AtomicBool,
+    pub last_store_call_succeeded: atomic::AtomicBool,
+    /// The reads of the configuration by this VM.
+    pub configuration_reads: Mutex<store_reader::ConfigurationReads>,
     /// Whether another VM has a newer configuration that it could not hand on, so that this one has to
     /// read the store.
     pub needs_newer_table: atomic::AtomicBool,
@@ -204,7 +207,8 @@
             active_configuration: Mutex::default(),
             store_replica: store_replica::StoreReplica::default(),
             store_history: Mutex::default(),
-            reaches_store: atomic::AtomicBool::new(true),
+            last_store_call_succeeded: atomic::AtomicBool::new(true),
+            configuration_reads: Mutex::default(),
             needs_newer_table: atomic::AtomicBool::new(false),
             start_progressed: Notify::new(),
             configuration_replicated: Notify::new(),
@@ -323,6 +327,12 @@
         }
     }
 
+    /// Returns whether this VM can read the store for others.
+    pub fn reaches_store(&self) -> bool {
+        self.last_store_call_succeeded.load(atomic::Ordering::Acquire)
+            && self.configuration_reads.lock().is_fit(clock::now())
+    }
+
     /// Returns whether this VM reads the store on behalf of its region; it does so too if no reader
     /// is known.
     pub fn is_store_reader(&self) -> bool {
