fix(vm): a read that another machine made needless is not repeated at once

A machine that gave up a read of the configuration, because the reader's changes had arrived, began the next read without waiting for its turn, and fetched the whole configuration after all: two reads where none was due. Found by reading. The loop now waits after each read, however it ended; what the reads led to is kept by a type of its own.

--- a/crates/waxwing-vm/src/configuration_poll.rs
+++ b/crates/waxwing-vm/src/configuration_poll.rs
@@ -29,43 +29,22 @@
 
 /// Polls the configuration; never returns.
 pub async fn poll_configuration<R: registry::Registry>(vm: vm::Shared, registry: sync::Arc<R>) {
-    let mut failures_in_a_row = 0;
-    let mut unconfirmed_in_a_row = 0;
+    let mut results = ReadResults::default();
     loop {
         let requested_at = clock::now();
         vm.configuration_reads.lock().begin(requested_at);
         let read = read_unless_replicated(&vm, registry.as_ref()).await;
         record_read(&vm, read.as_ref());
-        let Some(result) = read else {
-            continue;
-        };
-        log::debug!(
-            "configuration query sent at {requested_at}, error: {:?}",
-            result.as_ref().err()
-        );
-        vm.counters.count_store_call("configuration", result.is_ok());
-        store_poll::record_store_call(
-            &vm,
-            "configuration",
-            &mut failures_in_a_row,
-            result.as_ref().err(),
-        );
-        match result {
-            Ok(update) => {
+        if let Some(result) = read {
+            log::debug!(
+                "configuration query sent at {requested_at}, error: {:?}",
+                result.as_ref().err()
+            );
+            if result.is_ok() {
                 vm.enter_store_era(registry.era());
-                let is_confirmed = activate(&vm, update, requested_at);
-                unconfirmed_in_a_row = match is_confirmed {
-                    true => 0,
-                    false => record_unconfirmed(&vm, unconfirmed_in_a_row),
-                };
-                if !is_confirmed {
-                    timer::sleep(unsettled_poll_interval(unconfirmed_in_a_row)).await;
-                }
-            }
-            Err(_) => {
-                timer::sleep(store_reader::retry_backoff(failures_in_a_row, vm.is_store_reader()))
-                    .await
             }
+            let delay = results.apply(&vm, result, requested_at);
+            timer::sleep(delay).await;
         }
         let known_at = || match vm.needs_newer_table.load(atomic::Ordering::Acquire) {
             true => None,
@@ -75,6 +54,37 @@
     }
 }
 
+/// What the last reads of the store led to.
+#[derive(Debug, Default)]
+struct ReadResults {
+    failures_in_a_row: u32,
+    /// The number of reads since the last one that confirmed the configuration.
+    unconfirmed_in_a_row: u32,
+}
+
+impl ReadResults {
+    /// Applies the result of a read, and returns how long the next one has to wait at least.
+    fn apply(
+        &mut self,
+        vm: &vm::Vm,
+        result: registry::Result<registry::ConfigurationUpdate>,
+        requested_at: units_time::MonoInstant,
+    ) -> time::Duration {
+        let (what, error) = ("configuration", result.as_ref().err());
+        vm.counters.count_store_call(what, error.is_none());
+        store_poll::record_store_call(vm, what, &mut self.failures_in_a_row, error);
+        let Ok(update) = result else {
+            return store_reader::retry_backoff(self.failures_in_a_row, vm.is_store_reader());
+        };
+        if activate(vm, update, requested_at) {
+            self.unconfirmed_in_a_row = 0;
+            return time::Duration::ZERO;
+        }
+        self.unconfirmed_in_a_row = record_unconfirmed(vm, self.unconfirmed_in_a_row);
+        unsettled_poll_interval(self.unconfirmed_in_a_row)
+    }
+}
+
 /// Records how a read ended, of which the choice of the region's reader depends; `None` if it was given
 /// up.
 fn record_read(vm: &vm::Vm, read: Option<&registry::Result<registry::ConfigurationUpdate>>) {
