fix(vm): a machine doesn't fetch a configuration again that it has from its region

Every machine knew only the revisions that it had read itself. When a region lost its reader, each of its machines asked the store for what is newer than its own last read and got the whole configuration, over its own link, at the moment when the links have most to carry.

The reader hands on what it found in the store, the revisions of the watched keys with the era they are from, beside the configuration. A machine whose configuration is the same takes them over before it reads: the store then returns only what is newer.

--- a/crates/waxwing-platform/src/registry.rs
+++ b/crates/waxwing-platform/src/registry.rs
@@ -9,6 +9,7 @@
 
 use waxwing_machine::membership;
 use waxwing_machine::server_registration;
+use waxwing_route::read_mark;
 use waxwing_route::table;
 use waxwing_units::id;
 
@@ -45,6 +46,8 @@
     pub stored_version: Option<table::Version>,
     /// All failure domains whose backend servers get no requests, sorted.
     pub evacuated: Vec<id::FailureDomainId>,
+    /// What the read found, for [`Registry::adopt`] on another machine.
+    pub mark: read_mark::ReadMark,
 }
 
 /// A registration that the store has accepted.
@@ -72,6 +75,10 @@
     /// Returns an error if the call fails.
     fn configuration(&self) -> impl future::Future<Output = Result<ConfigurationUpdate>>;
 
+    /// Takes over what another machine found in the store, whose configuration this one has; the next
+    /// read returns only what is newer.
+    fn adopt(&self, mark: &read_mark::ReadMark);
+
     /// Reads the registrations of all backend servers, without those that can't be decoded.
     ///
     /// # Errors
--- a/crates/waxwing-protocol/src/replication.rs
+++ b/crates/waxwing-protocol/src/replication.rs
@@ -13,6 +13,7 @@
 use waxwing_machine::membership;
 use waxwing_machine::server_list;
 use waxwing_route::changes;
+use waxwing_route::read_mark;
 use waxwing_route::table;
 use waxwing_units::id;
 use waxwing_units::time as units_time;
@@ -58,6 +59,8 @@
     pub fingerprint: table::Fingerprint,
     /// The changes that lead to it; `None` if the requester has it in force.
     pub changes: Option<changes::Changes>,
+    /// What the reader found in the store with it.
+    pub mark: read_mark::ReadMark,
     /// Failure domains whose backend servers get no requests, sorted.
     pub evacuated: Vec<id::FailureDomainId>,
     /// The time since the reader sent the read request to the store.
--- a/crates/waxwing-route/src/lib.rs
+++ b/crates/waxwing-route/src/lib.rs
@@ -7,10 +7,12 @@
 //! * [`policy`]: the limits of organisations, of services and of single requests.
 //! * [`split`]: splits a route's requests among its services by weight.
 //! * [`changes`]: the differences between two tables.
+//! * [`read_mark`]: what a read of the configuration found in the store.
 //! * [`staleness`]: how old the table may be before keys are no longer accepted.
 
 pub mod changes;
 pub mod policy;
+pub mod read_mark;
 pub mod route;
 pub mod split;
 pub mod staleness;
--- a/crates/waxwing-vm/src/configuration_poll.rs
+++ b/crates/waxwing-vm/src/configuration_poll.rs
@@ -125,6 +125,8 @@
     registry: &R,
 ) -> Option<registry::Result<registry::ConfigurationUpdate>> {
     let replicated = pin::pin!(vm.configuration_replicated.notified());
+    let mark = vm.active_configuration.lock().mark.clone();
+    registry.adopt(&mark);
     let reading = pin::pin!(registry.configuration());
     match future::select(reading, replicated).await {
         future::Either::Left((result, _)) => Some(result),
@@ -167,7 +169,7 @@
         }
         let is_confirmed = has_settled && !active.is_newer_than(update.stored_version);
         has_changed |= match is_confirmed {
-            true => active.confirm(requested_at, update.evacuated),
+            true => active.confirm(requested_at, update.evacuated, update.mark),
             false => active.add_evacuated(update.evacuated),
         };
         (has_changed, is_confirmed)
@@ -214,7 +216,7 @@
         let fingerprint = active.table.as_ref().map(|table| table.fingerprint());
         if fingerprint == Some(peer.fingerprint) {
             if !active.is_newer_than(Some(peer.version)) {
-                has_changed |= active.confirm(known_at, peer.evacuated);
+                has_changed |= active.confirm(known_at, peer.evacuated, peer.mark);
                 vm.needs_newer_table.store(false, atomic::Ordering::Release);
             }
         } else if version <= Some(peer.version) {
--- a/crates/waxwing-vm/src/store_replica.rs
+++ b/crates/waxwing-vm/src/store_replica.rs
@@ -19,6 +19,7 @@
 use waxwing_process::timer;
 use waxwing_protocol::replication;
 use waxwing_route::changes;
+use waxwing_route::read_mark;
 use waxwing_route::table;
 use waxwing_units::bandwidth;
 use waxwing_units::id;
@@ -158,6 +159,7 @@
             version: table.version(),
             fingerprint: table.fingerprint(),
             changes: vm.store_replica.table_changes(known_table, &table),
+            mark: read_mark::ReadMark::clone(&active.mark),
             evacuated: active.evacuated,
             age_ms: age_ms(now, at),
         });
--- a/crates/waxwing-vm/src/vm.rs
+++ b/crates/waxwing-vm/src/vm.rs
@@ -17,6 +17,7 @@
 use waxwing_process::shutdown;
 use waxwing_process::timer;
 use waxwing_request::budget;
+use waxwing_route::read_mark;
 use waxwing_route::staleness;
 use waxwing_route::table;
 use waxwing_timeline::stamp;
@@ -52,6 +53,8 @@
     pub table: Option<sync::Arc<table::Table>>,
     /// Failure domains whose backend servers get no requests, sorted.
     pub evacuated: Vec<id::FailureDomainId>,
+    /// What the read that last confirmed this configuration found in the store.
+    pub mark: sync::Arc<read_mark::ReadMark>,
     /// When the last store query that confirmed this configuration was sent.
     pub confirmed_at: Option<units_time::MonoInstant>,
     /// The newest version that any VM is known to have; while this one has an older one, nothing
@@ -98,19 +101,22 @@
         has_changed
     }
 
-    /// Records that a store query sent at `requested_at` found no newer configuration, and which
-    /// failure domains were evacuated; returns whether those have changed.
+    /// Records that a store query sent at `requested_at` found no newer configuration, which failure
+    /// domains were evacuated, and what it found in the store; returns whether those domains have
+    /// changed.
     ///
     /// The result of an older query changes nothing.
     pub fn confirm(
         &mut self,
         requested_at: units_time::MonoInstant,
         evacuated: Vec<id::FailureDomainId>,
+        mark: read_mark::ReadMark,
     ) -> bool {
         if self.confirmed_at >= Some(requested_at) {
             return false;
         }
         self.confirmed_at = Some(requested_at);
+        self.mark = sync::Arc::new(mark);
         self.set_evacuated(evacuated)
     }
 }
