fix(vm): a slow answer of the region's reader counts

Over a full link a round trip takes longer than 600 ms.

A query without an answer is now repeated beside the first one, on a new connection, up to four in all, and the first answer counts; each may go 2.4 s without progress. A connection that went silent still costs one repetition, and a query ends when another machine has become the reader. What the reader has sent outlasts the connection. Polling the reader has a module of its own.

--- a/crates/waxwing-machine/src/transfer.rs
+++ b/crates/waxwing-machine/src/transfer.rs
@@ -52,6 +52,11 @@
         self.received = size::Bytes(self.received.0.saturating_add(len.0));
     }
 
+    /// Returns whether the content has begun to arrive, of which the sender has stated the length.
+    pub const fn has_length(&self) -> bool {
+        self.declared.is_some()
+    }
+
     /// Returns when the transfer is given up unless another piece arrives.
     pub fn deadline(&self, limits: &Limits) -> units_time::MonoInstant {
         let content_max = self.declared.map(|len| limits.rate_min.transfer_time(len));
--- a/crates/waxwing-vm/src/lib.rs
+++ b/crates/waxwing-vm/src/lib.rs
@@ -34,7 +34,9 @@
 //! * [`arrival_rate`]: the average number of requests per second.
 //! * [`store_replica`]: replicates the platform's store from one entry VM of a region to the
 //!   others.
-//! * [`replication_connection`]: the connection between them, given up without progress.
+//! * [`region_reader`]: polls the entry VM of this region that reads the store.
+//! * [`replica_query`]: one query to it, repeated over a slow link.
+//! * [`replication_connection`]: the connection to it, given up without progress.
 //! * [`configuration_poll`]: reads the configuration from the platform's store, or from another VM.
 //! * [`store_poll`]: reads backend servers and members from the platform's store.
 //! * [`registration`]: keeps this VM registered in the store.
@@ -62,7 +64,9 @@
 pub mod reachable_peers;
 pub mod reconcile;
 pub mod refusal;
+pub mod region_reader;
 pub mod registration;
+pub mod replica_query;
 pub mod replication_connection;
 pub mod request_admission;
 pub mod request_reader;
--- a/crates/waxwing-vm/src/replication_connection.rs
+++ b/crates/waxwing-vm/src/replication_connection.rs
@@ -20,8 +20,8 @@
 use waxwing_units::bandwidth;
 use waxwing_units::size;
 
-/// How long a message, or the connection to the reader, may make no progress.
-pub const PROGRESS_TIMEOUT: time::Duration = time::Duration::from_millis(600);
+/// How long a message that is sent may make no progress.
+const SEND_TIMEOUT: time::Duration = time::Duration::from_millis(2_400);
 
 /// The mean rate that a message must have.
 const RATE_MIN: bandwidth::Bandwidth = bandwidth::Bandwidth(128);
@@ -55,14 +55,14 @@
 }
 
 impl Connection {
-    /// Connects to a reader.
+    /// Connects to a reader within `limit`.
     ///
     /// # Errors
     ///
     /// Returns an error if the connection can't be established in time.
-    pub async fn connect(address: net::SocketAddr) -> Result<Self> {
+    pub async fn connect(address: net::SocketAddr, limit: time::Duration) -> Result<Self> {
         let pending = tokio_net::TcpStream::connect(address);
-        match timer::timeout(PROGRESS_TIMEOUT, pending).await {
+        match timer::timeout(limit, pending).await {
             Ok(stream) => Ok(Self { stream: stream? }),
             Err(timer::Elapsed) => Err(Error::TimedOut(transfer::Transfer::begin(clock::now()))),
         }
@@ -73,7 +73,8 @@
         Self { stream }
     }
 
-    /// Receives a message; `idle_max` is how long nothing may arrive.
+    /// Receives a message and records its progress in `progress`; `idle_max` is how long nothing may
+    /// arrive.
     ///
     /// # Errors
     ///
@@ -82,11 +83,12 @@
     pub async fn receive<T: de::DeserializeOwned>(
         &mut self,
         idle_max: time::Duration,
+        progress: &cell::Cell<transfer::Transfer>,
     ) -> Result<T> {
-        let progress = cell::Cell::new(transfer::Transfer::begin(clock::now()));
+        progress.set(transfer::Transfer::begin(clock::now()));
         let limits = transfer::Limits { idle_max, rate_min: RATE_MIN };
-        let pending = read(&mut self.stream, &progress);
-        let result = timer::timeout_transfer(limits, &progress, pending).await;
+        let pending = read(&mut self.stream, progress);
+        let result = timer::timeout_transfer(limits, progress, pending).await;
         result.unwrap_or_else(|_| Err(Error::TimedOut(progress.get())))
     }
 
@@ -101,7 +103,7 @@
         let mut transfer = transfer::Transfer::begin(clock::now());
         transfer.record_length(clock::now(), Some(size::Bytes(bytes.len() as u64)));
         let progress = cell::Cell::new(transfer);
-        let limits = transfer::Limits { idle_max: PROGRESS_TIMEOUT, rate_min: RATE_MIN };
+        let limits = transfer::Limits { idle_max: SEND_TIMEOUT, rate_min: RATE_MIN };
         let pending = write(&mut self.stream, &bytes, &progress);
         let result = timer::timeout_transfer(limits, &progress, pending).await;
         result.unwrap_or_else(|_| Err(Error::TimedOut(progress.get())))
--- a/crates/waxwing-vm/src/run.rs
+++ b/crates/waxwing-vm/src/run.rs
@@ -29,6 +29,7 @@
 use crate::http_adapter;
 use crate::peers;
 use crate::reconcile;
+use crate::region_reader;
 use crate::registration;
 use crate::settings;
 use crate::store_poll;
@@ -121,7 +122,7 @@
     ntex::rt::spawn(registration::keep_registered(vm.clone(), registry.clone()));
     ntex::rt::spawn(store_poll::poll_members(vm.clone(), registry.clone()));
     ntex::rt::spawn(registration::watch_admission(vm.clone(), registry.clone()));
-    ntex::rt::spawn(store_replica::poll_reader(vm.clone(), server_set.clone()));
+    ntex::rt::spawn(region_reader::poll_reader(vm.clone(), server_set.clone()));
     ntex::rt::spawn(reconcile::run_periodically(vm.clone(), server_set));
 }
 
--- a/crates/waxwing-vm/src/store_replica.rs
+++ b/crates/waxwing-vm/src/store_replica.rs
@@ -1,10 +1,11 @@
 //! Replicates the store's contents among the entry VMs of a region.
 //!
 //! One VM of each region, the reader, reads the store. The others ask it a few times per second for
-//! changes, and read the store themselves when its responses get old. Each response carries the age
-//! of its data, so the receiver knows as well as from a read of its own whether keys may still be
-//! accepted.
+//! changes ([`crate::region_reader`]), and read the store themselves when its responses get old. Each
+//! response carries the age of its data, so the receiver knows as well as from a read of its own whether
+//! keys may still be accepted.
 
+use std::cell;
 use std::net;
 use std::sync;
 use std::time;
@@ -14,26 +15,18 @@
 use waxwing_machine::membership;
 use waxwing_machine::server_list;
 use waxwing_machine::server_registration;
-use waxwing_machine::store_reader;
+use waxwing_machine::transfer;
 use waxwing_process::clock;
 use waxwing_process::timer;
 use waxwing_protocol::replication;
 use waxwing_route::changes;
 use waxwing_route::read_mark;
 use waxwing_route::table;
-use waxwing_units::bandwidth;
-use waxwing_units::id;
 use waxwing_units::time as units_time;
 
-use crate::configuration_poll;
-use crate::reconcile;
 use crate::replication_connection;
-use crate::store_poll;
 use crate::vm;
 
-/// How often the reader is asked within the time in which a change has to be known.
-const POLLS_PER_BOUND: u32 = 10;
-
 /// The number of configurations that are kept, so that machines that have one of them receive only
 /// the changes since.
 const TABLES_MAX: usize = 4;
@@ -201,7 +194,8 @@
 
 async fn serve_peer(vm: vm::Shared, mut connection: replication_connection::Connection) {
     loop {
-        let query = match connection.receive(IDLE_TIMEOUT).await {
+        let progress = cell::Cell::new(transfer::Transfer::begin(clock::now()));
+        let query = match connection.receive(IDLE_TIMEOUT, &progress).await {
             Ok(query) => query,
             Err(error) => {
                 log::debug!("a replication connection ended: {error}");
@@ -210,152 +204,12 @@
         };
         let update = replica_update(&vm, query);
         if let Err(error) = connection.send(&update).await {
-            log::info!("sending a replication response failed: {error}");
+            log::debug!("sending a replication response failed: {error}");
             return;
         }
     }
 }
 
-/// A connection to the reader, with what it has sent so far.
-struct ReaderConnection {
-    vm: id::VmId,
-    connection: replication_connection::Connection,
-    reader_incarnation: id::Incarnation,
-    servers: server_list::Replica,
-    members_version: u64,
-    members: Vec<membership::Member>,
-}
-
-/// Polls the reader of this region; never returns.
-pub async fn poll_reader(vm: vm::Shared, servers: reconcile::SharedServerSet) {
-    let settings = vm.settings();
-    let bound = settings.settings.apply_max.min(settings.settings.drain_max).duration();
-    let mut connection = None;
-    loop {
-        timer::sleep(bound / POLLS_PER_BOUND).await;
-        let Some(machine) = elect_reader(&vm).filter(|machine| machine.vm != vm.info.vm) else {
-            connection = None;
-            continue;
-        };
-        connection = match fetch_update(&vm, &servers, connection, &machine).await {
-            Ok(connection) => Some(connection),
-            Err(error) => {
-                log::info!("replication from machine {} failed: {error}", machine.vm);
-                None
-            }
-        };
-    }
-}
-
-/// Returns the reader of this region, which may be this VM.
-pub fn elect_reader(vm: &vm::Vm) -> Option<membership::MachineInfo> {
-    let settings = vm.settings();
-    let local_region = settings.region_of(&vm.info.failure_domain);
-    let own_link = settings.settings.link_bandwidth;
-    let own_reach = vm.reaches_store();
-    let membership = vm.membership.lock();
-    let mut machines: Vec<(&membership::MachineInfo, bool, Option<bandwidth::Bandwidth>)> =
-        membership
-            .live_peers(clock::now())
-            .filter(|(machine, _)| settings.region_of(&machine.failure_domain) == local_region)
-            .map(|(machine, reaches)| (machine, reaches, membership.link_bandwidth(&machine.vm)))
-            .collect();
-    if vm.stage() == vm::Stage::Serving {
-        machines.push((&vm.info, own_reach, own_link));
-    }
-    let candidates =
-        machines.iter().map(|(machine, reaches_store, link_bandwidth)| store_reader::Candidate {
-            vm: &machine.vm,
-            reaches_store: *reaches_store,
-            link_bandwidth: *link_bandwidth,
-        });
-    let reader = store_reader::elect(candidates)?;
-    let elected = machines.iter().find(|(machine, ..)| machine.vm == *reader);
-    elected.map(|(machine, ..)| (*machine).clone())
-}
-
-/// Sends a query to the reader, over the existing connection if it leads there, and applies the
-/// response.
-async fn fetch_update(
-    vm: &vm::Shared,
-    servers: &reconcile::SharedServerSet,
-    reader: Option<ReaderConnection>,
-    machine: &membership::MachineInfo,
-) -> replication_connection::Result<ReaderConnection> {
-    let mut reader = match reader {
-        Some(reader) if reader.vm == machine.vm => reader,
-        _ => ReaderConnection::connect(machine).await?,
-    };
-    let requested_at = clock::now();
-    let query = replication::Request {
-        reader_incarnation: reader.reader_incarnation,
-        servers_version: reader.servers.version(),
-        members_version: reader.members_version,
-        configuration: vm.table().map(|table| table.fingerprint()),
-    };
-    reader.connection.send(&query).await?;
-    let update = reader.connection.receive(replication_connection::PROGRESS_TIMEOUT).await?;
-    reader.apply(vm, servers, requested_at, update);
-    Ok(reader)
-}
-
-impl ReaderConnection {
-    async fn connect(machine: &membership::MachineInfo) -> replication_connection::Result<Self> {
-        Ok(Self {
-            vm: machine.vm.clone(),
-            connection: replication_connection::Connection::connect(machine.peer_address).await?,
-            reader_incarnation: id::Incarnation::default(),
-            servers: server_list::Replica::default(),
-            members_version: 0,
-            members: Vec::new(),
-        })
-    }
-
-    fn apply(
-        &mut self,
-        vm: &vm::Vm,
-        servers: &reconcile::SharedServerSet,
-        requested_at: units_time::MonoInstant,
-        update: replication::Response,
-    ) {
-        self.reader_incarnation = update.reader_incarnation;
-        let instant_of = |age_ms: units_time::Millis| requested_at.before(age_ms.duration());
-        if let Some(configuration) = update.configuration {
-            configuration_poll::apply_peer_configuration(
-                vm,
-                instant_of(configuration.age_ms),
-                configuration,
-            );
-        }
-        if let Some(member_update) = &update.members {
-            vm.enter_store_era(member_update.revision.era());
-        }
-        if let Some(server_update) = update.servers {
-            self.servers.apply(server_update.changes);
-            let listed = self.servers.servers().to_vec();
-            let last_failure_at = server_update.failed_ago_ms.map(instant_of);
-            store_poll::apply_servers(
-                vm,
-                servers,
-                instant_of(server_update.age_ms),
-                last_failure_at,
-                listed,
-            );
-        }
-        if let Some(member_update) = update.members {
-            self.members_version = member_update.version;
-            if let Some(members) = member_update.members {
-                self.members = members;
-            }
-            let member_list = membership::MemberList {
-                revision: member_update.revision,
-                members: self.members.clone(),
-            };
-            store_poll::apply_members(vm, instant_of(member_update.age_ms), member_list);
-        }
-    }
-}
-
 /// Binds the endpoint for the queries of other VMs.
 ///
 /// # Errors
--- a/crates/waxwing-vm/src/vm.rs
+++ b/crates/waxwing-vm/src/vm.rs
@@ -29,6 +29,7 @@
 use crate::counters;
 use crate::http_adapter;
 use crate::memory;
+use crate::region_reader;
 use crate::service_pools;
 use crate::settings;
 use crate::store_replica;
@@ -353,7 +354,7 @@
     /// Returns whether this VM reads the store on behalf of its region; it does so too if no reader
     /// is known.
     pub fn is_store_reader(&self) -> bool {
-        store_replica::elect_reader(self).is_none_or(|info| info.vm == self.info.vm)
+        region_reader::elect_reader(self).is_none_or(|info| info.vm == self.info.vm)
     }
 
     /// Waits until this VM has read a configuration and the backend servers, for `wait_max` at most.
