fix: a listing of the records goes on while it makes progress

The same fault in waxwing-keeper and the command line: the HTTP library gives the body of a response ten seconds as a whole, so records that take their link longer never arrived, and a store that stopped midway held the call for ten seconds. At 28.9 MB, the size that CAPACITY.md designs for, a link of 10 Mbit/s takes 23 s.

Calls have the limits of waxwing_machine::transfer, 2 s without progress; both clients read bodies with waxwing_process::response_body. Before: a listing of 600 kB over 12 s fails with a payload error, one that stops midway ends after 10.24 s; both tests pass now. Copies of records between keepers were looked at and have limits per read and write already.

--- a/crates/waxwing-platform/src/http.rs
+++ b/crates/waxwing-platform/src/http.rs
@@ -1,5 +1,7 @@
 //! A client for the platform's store and machine list, over HTTP with JSON.
 
+use std::cell;
+use std::future;
 use std::io;
 use std::net;
 use std::time;
@@ -10,16 +12,25 @@
 use ntex::time as ntex_time;
 use serde::de;
 use waxwing_machine::entry_vm;
+use waxwing_machine::transfer;
+use waxwing_process::clock;
+use waxwing_process::response_body;
+use waxwing_process::timer;
+use waxwing_units::bandwidth;
 use waxwing_units::id;
+use waxwing_units::size;
 
 use crate::store;
 use crate::vm_list;
 
-/// The timeout of a call, in milliseconds; a watch may take its wait in addition.
-const CALL_TIMEOUT_MS: u32 = 2_000;
+/// How long a call may make no progress; a watch may take its wait in addition.
+const CALL_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
-/// The largest response body that is read, in bytes.
-const RESPONSE_MAX_BYTES: usize = 256 * 1024 * 1024;
+/// The mean rate that a response must have.
+const RATE_MIN: bandwidth::Bandwidth = bandwidth::Bandwidth(128);
+
+/// The largest response body that is read.
+const RESPONSE_MAX: size::Bytes = size::Bytes(256 * 1024 * 1024);
 
 /// A client for the platform's HTTP endpoint.
 #[derive(Debug, Clone)]
@@ -38,13 +49,38 @@
         format!("http://{}/v1/{path}", self.address)
     }
 
-    async fn get<T: de::DeserializeOwned>(&self, path: &str, timeout_ms: u32) -> store::Result<T> {
-        let request = self.client.get(self.url(path)).timeout(ntex_time::Millis(timeout_ms));
-        let response = request.send().await.map_err(transport_error)?;
-        read_response(response).await
+    async fn get<T: de::DeserializeOwned>(
+        &self,
+        path: &str,
+        idle_max: time::Duration,
+    ) -> store::Result<T> {
+        let request = self.client.get(self.url(path)).timeout(head_timeout(idle_max));
+        read_in_time(idle_max, request.send()).await
     }
 }
 
+/// Returns the time limit on the head of a response, which the HTTP library would set otherwise.
+fn head_timeout(idle_max: time::Duration) -> ntex_time::Millis {
+    ntex_time::Millis(u32::try_from(idle_max.as_millis()).unwrap_or(u32::MAX))
+}
+
+/// Awaits the response to a call and reads it while it makes progress.
+async fn read_in_time<T: de::DeserializeOwned>(
+    idle_max: time::Duration,
+    sent: impl future::Future<Output = Result<client::ClientResponse, client_error::ClientError>>,
+) -> store::Result<T> {
+    let limits = transfer::Limits { idle_max, rate_min: RATE_MIN };
+    let progress = cell::Cell::new(transfer::Transfer::begin(clock::now()));
+    let reading = async {
+        let response = sent.await.map_err(transport_error)?;
+        read_response(response, &progress).await
+    };
+    let result = timer::timeout_transfer(limits, &progress, reading).await;
+    result.unwrap_or_else(|_| {
+        Err(store::Error::NoAnswer(format!("the call timed out; {}", progress.get())))
+    })
+}
+
 /// Maps a transport error to what is known about the effect of the call: a refused or failed
 /// connection means that the store was not reached; any other error, such as a connection that was
 /// closed, leaves the effect unknown.
@@ -66,9 +102,10 @@
 
 async fn read_response<T: de::DeserializeOwned>(
     response: client::ClientResponse,
+    progress: &cell::Cell<transfer::Transfer>,
 ) -> store::Result<T> {
     let status = response.status();
-    let body = response.body().limit(RESPONSE_MAX_BYTES).await;
+    let body = response_body::read(response, RESPONSE_MAX, progress).await;
     let body = body.map_err(|error| store::Error::NoAnswer(error.to_string()))?;
     if status != http::StatusCode::OK {
         let text = String::from_utf8_lossy(&body).into_owned();
@@ -79,14 +116,12 @@
 
 impl store::Store for Platform {
     async fn list(&self, prefix: &str) -> store::Result<store::Listing> {
-        self.get(&format!("list?prefix={prefix}"), CALL_TIMEOUT_MS).await
+        self.get(&format!("list?prefix={prefix}"), CALL_TIMEOUT).await
     }
 
     async fn write(&self, write: &store::Write) -> store::Result<store::WriteOutcome> {
-        let request = self.client.post(self.url("write"));
-        let request = request.timeout(ntex_time::Millis(CALL_TIMEOUT_MS));
-        let response = request.send_json(write).await.map_err(transport_error)?;
-        read_response(response).await
+        let request = self.client.post(self.url("write")).timeout(head_timeout(CALL_TIMEOUT));
+        read_in_time(CALL_TIMEOUT, request.send_json(write)).await
     }
 
     async fn watch(
@@ -94,14 +129,13 @@
         after: id::Revision,
         wait: time::Duration,
     ) -> store::Result<id::Revision> {
-        let wait_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
-        let path = format!("watch?after={after}&wait_ms={wait_ms}");
-        self.get(&path, wait_ms.saturating_add(CALL_TIMEOUT_MS)).await
+        let path = format!("watch?after={after}&wait_ms={}", wait.as_millis());
+        self.get(&path, wait.saturating_add(CALL_TIMEOUT)).await
     }
 }
 
 impl vm_list::VmList for Platform {
     async fn vms(&self) -> store::Result<Vec<entry_vm::EntryVm>> {
-        self.get("vms", CALL_TIMEOUT_MS).await
+        self.get("vms", CALL_TIMEOUT).await
     }
 }
--- /dev/null
+++ b/crates/waxwing-platform/tests/http.rs
@@ -0,0 +1,61 @@
+//! The client of the platform's store over a slow link.
+
+use std::io::{Read, Write};
+use std::net;
+use std::thread;
+use std::time;
+
+use waxwing_platform::http;
+use waxwing_platform::store::Store;
+
+/// The number of pieces that a response is sent in.
+const PIECES: usize = 60;
+
+/// Answers each connection with a listing, evenly over `span`; nothing more comes after `sent_permille`
+/// of it.
+fn serve(span: time::Duration, sent_permille: usize) -> net::SocketAddr {
+    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let filler = "A".repeat(600_000);
+    let item = format!(r#"{{"key":"records/a","revision":1,"value":"{filler}"}}"#);
+    let body = format!(r#"{{"revision":1,"entries":[{item}]}}"#);
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length:";
+    let response = format!("{head} {}\r\n\r\n{body}", body.len());
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            let mut request = [0; 4_096];
+            if stream.read(&mut request).is_err() {
+                continue;
+            }
+            let sent = &response.as_bytes()[..response.len() * sent_permille / 1_000];
+            for piece in sent.chunks(response.len().div_ceil(PIECES)) {
+                if stream.write_all(piece).is_err() {
+                    break;
+                }
+                thread::sleep(span / PIECES as u32);
+            }
+            // The connection stays open until the client closes it.
+            while matches!(stream.read(&mut request), Ok(1..)) {}
+        }
+    });
+    address
+}
+
+/// Regression: records that took their link longer than ten seconds never arrived, however often
+/// they were listed.
+#[ntex::test]
+async fn records_that_take_their_link_longer_than_the_call_timeout_arrive() {
+    let platform = http::Platform::new(serve(time::Duration::from_secs(12), 1_000)).await;
+    let listing = platform.list("").await.expect("the whole listing");
+    assert_eq!(listing.entries.len(), 1);
+}
+
+/// Guards against a call that waits for a store that stopped in the middle of its response.
+#[ntex::test]
+async fn a_listing_that_stops_midway_ends_the_call() {
+    let platform = http::Platform::new(serve(time::Duration::ZERO, 500)).await;
+    let started_at = time::Instant::now();
+    assert!(platform.list("").await.is_err());
+    assert!(started_at.elapsed() < time::Duration::from_secs(5), "{:?}", started_at.elapsed());
+}
--- a/crates/waxwing-process/src/lib.rs
+++ b/crates/waxwing-process/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`shutdown`]: the shutdown of the process, as the requests in progress see it.
 //! * [`signal`]: turns process signals into shutdown and reload actions.
 //! * [`timer`]: sleeps and timeouts for asynchronous code.
+//! * [`response_body`]: the body of an HTTP response, read with its progress.
 //! * [`log_limiter`]: limits the rate of log lines.
 //! * [`descriptors`]: the limit on the descriptors of the process.
 
@@ -21,6 +22,7 @@
 pub mod logs;
 pub mod metrics;
 pub mod reporter;
+pub mod response_body;
 pub mod settings;
 pub mod shutdown;
 pub mod signal;
