fix: an odd record does not hide the others from the keepers

Entries are decoded one by one; invalid ones are skipped with a line that counts them.

Before: the listing fails with "recursion limit exceeded". The test lists four odd entries beside two good ones.

--- a/crates/waxwing-platform/src/http.rs
+++ b/crates/waxwing-platform/src/http.rs
@@ -11,6 +11,7 @@
 use ntex::http;
 use ntex::time as ntex_time;
 use serde::de;
+use serde_json::value;
 use waxwing_machine::entry_vm;
 use waxwing_machine::transfer;
 use waxwing_process::clock;
@@ -114,9 +115,30 @@
     serde_json::from_slice(&body).map_err(|error| store::Error::Answer(error.to_string()))
 }
 
+/// A listing whose entries are not decoded yet, so that an invalid one does not affect the others.
+#[derive(serde::Deserialize)]
+struct RawListing {
+    revision: id::Revision,
+    entries: Vec<Box<value::RawValue>>,
+}
+
+impl RawListing {
+    /// Decodes the entries; those that are invalid are skipped.
+    fn decode(self) -> store::Listing {
+        let stored = self.entries.len();
+        let decode = |raw: Box<value::RawValue>| serde_json::from_str(raw.get()).ok();
+        let entries: Vec<store::Entry> = self.entries.into_iter().filter_map(decode).collect();
+        if entries.len() < stored {
+            log::warn!("{} of {stored} entries of the store are invalid", stored - entries.len());
+        }
+        store::Listing { revision: self.revision, entries }
+    }
+}
+
 impl store::Store for Platform {
     async fn list(&self, prefix: &str) -> store::Result<store::Listing> {
-        self.get(&format!("list?prefix={prefix}"), CALL_TIMEOUT).await
+        let path = format!("list?prefix={prefix}");
+        self.get::<RawListing>(&path, CALL_TIMEOUT).await.map(RawListing::decode)
     }
 
     async fn write(&self, write: &store::Write) -> store::Result<store::WriteOutcome> {
--- a/crates/waxwing-platform/tests/http.rs
+++ b/crates/waxwing-platform/tests/http.rs
@@ -59,3 +59,46 @@
     assert!(platform.list("").await.is_err());
     assert!(started_at.elapsed() < time::Duration::from_secs(5), "{:?}", started_at.elapsed());
 }
+
+/// Answers each connection with a listing of these entries.
+fn serve_entries(entries: &[String]) -> net::SocketAddr {
+    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let body = format!(r#"{{"revision":9,"entries":[{}]}}"#, entries.join(","));
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length:";
+    let response = format!("{head} {}\r\n\r\n{body}", body.len());
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            let mut request = [0; 4_096];
+            if stream.read(&mut request).is_ok() {
+                stream.write_all(response.as_bytes()).expect("the client reads");
+                // Closing with unread bytes would reset the connection.
+                while matches!(stream.read(&mut request), Ok(1..)) {}
+            }
+        }
+    });
+    address
+}
+
+/// Regression: one record that can't be decoded made the listing fail as a whole, so that no keeper
+/// followed the records any more.
+#[ntex::test]
+async fn an_odd_entry_leaves_the_others_of_a_listing_readable() {
+    let entry = |key: &str, value: &str| {
+        format!(r#"{{"key":"records/{key}","revision":1,"value":{value}}}"#)
+    };
+    let nested = "[".repeat(100_000) + &"]".repeat(100_000);
+    let entries = [
+        entry("a", "1"),
+        entry("b", &nested),
+        entry("c", "1e999"),
+        r#"{"key":7,"revision":1,"value":1}"#.to_owned(),
+        r#"{"key":"records/d","revision":18446744073709551616,"value":1}"#.to_owned(),
+        entry("e", "2"),
+    ];
+    let platform = http::Platform::new(serve_entries(&entries)).await;
+    let listing = platform.list("").await.expect("a listing");
+    let keys: Vec<&str> = listing.entries.iter().map(|entry| entry.key.as_str()).collect();
+    assert_eq!((listing.revision.0, keys), (9, vec!["records/a", "records/e"]));
+}
