--- a/crates/waxwing-platform/tests/http.rs
+++ b/crates/waxwing-platform/tests/http.rs
@@ -11,14 +11,12 @@
 /// The number of pieces that a response is sent in.
 const PIECES: usize = 60;
 
-/// Answers each connection with a listing, evenly over `span`; nothing more comes after `sent_permille`
-/// of it.
-fn serve(span: time::Duration, sent_permille: usize) -> net::SocketAddr {
+/// Answers each connection with a listing of these entries, evenly over `span`; nothing more comes after
+/// `sent_permille` of it.
+fn serve(entries: &[String], span: time::Duration, sent_permille: usize) -> net::SocketAddr {
     let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("an address");
-    let filler = "A".repeat(600_000);
-    let item = format!(r#"{{"key":"records/a","revision":1,"value":"{filler}"}}"#);
-    let body = format!(r#"{{"revision":1,"entries":[{item}]}}"#);
+    let body = format!(r#"{{"revision":9,"entries":[{}]}}"#, entries.join(","));
     let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length:";
     let response = format!("{head} {}\r\n\r\n{body}", body.len());
     thread::spawn(move || {
@@ -42,11 +40,17 @@
     address
 }
 
+/// Returns an entry that fills many packets.
+fn large_entry() -> String {
+    format!(r#"{{"key":"records/a","revision":1,"value":"{}"}}"#, "A".repeat(600_000))
+}
+
 /// Regression: records that took their link longer than ten seconds never arrived, however often
 /// they were listed.
 #[ntex::test]
 async fn records_that_take_their_link_longer_than_the_call_timeout_arrive() {
-    let platform = http::Platform::new(serve(time::Duration::from_secs(12), 1_000)).await;
+    let platform =
+        http::Platform::new(serve(&[large_entry()], time::Duration::from_secs(12), 1_000)).await;
     let listing = platform.list("").await.expect("the whole listing");
     assert_eq!(listing.entries.len(), 1);
 }
@@ -54,33 +58,12 @@
 /// Guards against a call that waits for a store that stopped in the middle of its response.
 #[ntex::test]
 async fn a_listing_that_stops_midway_ends_the_call() {
-    let platform = http::Platform::new(serve(time::Duration::ZERO, 500)).await;
+    let platform = http::Platform::new(serve(&[large_entry()], time::Duration::ZERO, 500)).await;
     let started_at = time::Instant::now();
     assert!(platform.list("").await.is_err());
     assert!(started_at.elapsed() < time::Duration::from_secs(5), "{:?}", started_at.elapsed());
 }
 
-/// Answers each connection with a listing of these entries.
-fn serve_entries(entries: &[String]) -> net::SocketAddr {
-    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = listener.local_addr().expect("an address");
-    let body = format!(r#"{{"revision":9,"entries":[{}]}}"#, entries.join(","));
-    let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length:";
-    let response = format!("{head} {}\r\n\r\n{body}", body.len());
-    thread::spawn(move || {
-        for stream in listener.incoming() {
-            let mut stream = stream.expect("a connection");
-            let mut request = [0; 4_096];
-            if stream.read(&mut request).is_ok() {
-                stream.write_all(response.as_bytes()).expect("the client reads");
-                // Closing with unread bytes would reset the connection.
-                while matches!(stream.read(&mut request), Ok(1..)) {}
-            }
-        }
-    });
-    address
-}
-
 /// Regression: one record that can't be decoded made the listing fail as a whole, so that no keeper
 /// followed the records any more.
 #[ntex::test]
@@ -97,7 +80,7 @@
         r#"{"key":"records/d","revision":18446744073709551616,"value":1}"#.to_owned(),
         entry("e", "2"),
     ];
-    let platform = http::Platform::new(serve_entries(&entries)).await;
+    let platform = http::Platform::new(serve(&entries, time::Duration::ZERO, 1_000)).await;
     let listing = platform.list("").await.expect("a listing");
     let keys: Vec<&str> = listing.entries.iter().map(|entry| entry.key.as_str()).collect();
     assert_eq!((listing.revision.0, keys), (9, vec!["records/a", "records/e"]));
