--- a/crates/waxwing-protocol/src/replication.rs
+++ b/crates/waxwing-protocol/src/replication.rs
@@ -35,6 +35,8 @@
     pub members_version: u64,
     /// The configuration in force at the requester; `None` if there is none.
     pub configuration: Option<table::Fingerprint>,
+    /// The mark of the read that confirmed it.
+    pub mark: table::Fingerprint,
 }
 
 /// The state of the store as the reader knows it.
@@ -59,8 +61,8 @@
     pub fingerprint: table::Fingerprint,
     /// The changes that lead to it; `None` if the requester has it in force.
     pub changes: Option<changes::Changes>,
-    /// What the reader found in the store with it.
-    pub mark: read_mark::ReadMark,
+    /// What the reader found in the store with it; `None` if the requester has that mark.
+    pub mark: Option<read_mark::ReadMark>,
     /// Failure domains whose backend servers get no requests, sorted.
     pub evacuated: Vec<id::FailureDomainId>,
     /// The time since the reader sent the read request to the store.
--- a/crates/waxwing-route/src/read_mark.rs
+++ b/crates/waxwing-route/src/read_mark.rs
@@ -30,6 +30,11 @@
 }
 
 impl ReadMark {
+    /// Returns what identifies this mark, on any machine.
+    pub fn fingerprint(&self) -> table::Fingerprint {
+        table::Fingerprint::of(self)
+    }
+
     /// Returns the newest revision of its keys.
     pub fn newest_revision(&self) -> u64 {
         self.keys.iter().map(|key| key.revision).max().unwrap_or(0)
--- a/crates/waxwing-route/src/table.rs
+++ b/crates/waxwing-route/src/table.rs
@@ -23,13 +23,21 @@
     }
 }
 
-/// Identifies the content of a table, on any machine.
+/// Identifies a content, such as that of a table, on any machine.
 ///
 /// A version number does not: a store that was restored from a copy may issue one twice.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Fingerprint(pub u64);
 
+impl Fingerprint {
+    /// Returns what identifies `content`.
+    pub fn of(content: &impl Serialize) -> Self {
+        // Encoding into memory does not fail.
+        Self(xxh3::xxh3_64(&postcard::to_stdvec(content).unwrap_or_default()))
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
@@ -93,9 +101,7 @@
         keys.sort_by_key(|key| key.digest);
         let most_urgent = most_urgent(&hosts, &organisations);
         let content = (version, &hosts, &services, &organisations, &limits);
-        // Encoding into memory does not fail.
-        let encoded = postcard::to_stdvec(&content).unwrap_or_default();
-        let fingerprint = Fingerprint(xxh3::xxh3_64(&encoded));
+        let fingerprint = Fingerprint::of(&content);
         Self { version, hosts, services, organisations, keys, limits, most_urgent, fingerprint }
     }
 
--- a/crates/waxwing-vm/src/configuration_poll.rs
+++ b/crates/waxwing-vm/src/configuration_poll.rs
@@ -172,7 +172,7 @@
         }
         let is_confirmed = has_settled && !active.is_newer_than(update.stored_version);
         has_changed |= match is_confirmed {
-            true => active.confirm(requested_at, update.evacuated, update.mark),
+            true => active.confirm(requested_at, update.evacuated, Some(update.mark)),
             false => active.add_evacuated(update.evacuated),
         };
         (has_changed, is_confirmed)
--- a/crates/waxwing-vm/src/region_reader.rs
+++ b/crates/waxwing-vm/src/region_reader.rs
@@ -89,11 +89,13 @@
 impl ReaderState {
     /// Returns the query for what has changed.
     fn query(&self, vm: &vm::Vm) -> replication::Request {
+        let active = vm.active_configuration();
         replication::Request {
             reader_incarnation: self.incarnation,
             servers_version: self.servers.version(),
             members_version: self.members_version,
-            configuration: vm.table().map(|table| table.fingerprint()),
+            configuration: active.table.map(|table| table.fingerprint()),
+            mark: active.mark.fingerprint(),
         }
     }
 
--- a/crates/waxwing-vm/src/store_replica.rs
+++ b/crates/waxwing-vm/src/store_replica.rs
@@ -140,7 +140,7 @@
 /// another incarnation.
 fn replica_update(vm: &vm::Vm, query: replication::Request) -> replication::Response {
     let now = clock::now();
-    let known_table = query.configuration;
+    let (known_table, known_mark) = (query.configuration, query.mark);
     let query = if query.reader_incarnation == vm.info.started {
         query
     } else {
@@ -152,7 +152,8 @@
             version: table.version(),
             fingerprint: table.fingerprint(),
             changes: vm.store_replica.table_changes(known_table, &table),
-            mark: read_mark::ReadMark::clone(&active.mark),
+            mark: (active.mark.fingerprint() != known_mark)
+                .then(|| read_mark::ReadMark::clone(&active.mark)),
             evacuated: active.evacuated,
             age_ms: age_ms(now, at),
         });
--- a/crates/waxwing-vm/src/vm.rs
+++ b/crates/waxwing-vm/src/vm.rs
@@ -103,21 +103,23 @@
     }
 
     /// Records that a store query sent at `requested_at` found no newer configuration, which failure
-    /// domains were evacuated, and what it found in the store; returns whether those domains have
-    /// changed.
+    /// domains were evacuated, and what it found in the store, if that is new; returns whether those
+    /// domains have changed.
     ///
     /// The result of an older query changes nothing.
     pub fn confirm(
         &mut self,
         requested_at: units_time::MonoInstant,
         evacuated: Vec<id::FailureDomainId>,
-        mark: read_mark::ReadMark,
+        mark: Option<read_mark::ReadMark>,
     ) -> bool {
         if self.confirmed_at >= Some(requested_at) {
             return false;
         }
         self.confirmed_at = Some(requested_at);
-        self.mark = sync::Arc::new(mark);
+        if let Some(mark) = mark {
+            self.mark = sync::Arc::new(mark);
+        }
         self.set_evacuated(evacuated)
     }
 }
