fix(vm): a reader that is behind a machine does not send it its whole table

The reader sent the whole table to each machine whose configuration it did not keep, 3.3 times a second, also where that one was newer: a machine that had read the store itself, or a region whose new reader is behind. On a narrow link that is the load that takes away. The query names the version beside the fingerprint, and only an older one gets changes.

--- a/crates/waxwing-protocol/src/replication.rs
+++ b/crates/waxwing-protocol/src/replication.rs
@@ -34,11 +34,20 @@
     /// The version of the replica of the member list; zero if there is none.
     pub members_version: u64,
     /// The configuration in force at the requester; `None` if there is none.
-    pub configuration: Option<table::Fingerprint>,
+    pub configuration: Option<KnownConfiguration>,
     /// The mark of the read that confirmed it.
     pub mark: table::Fingerprint,
 }
 
+/// Identifies a configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownConfiguration {
+    /// The version that operators gave it.
+    pub version: table::Version,
+    /// What identifies its content.
+    pub fingerprint: table::Fingerprint,
+}
+
 /// The state of the store as the reader knows it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Response {
@@ -55,11 +64,9 @@
 /// The configuration in force at the reader.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Configuration {
-    /// The version that operators gave it.
-    pub version: table::Version,
-    /// What identifies its content.
-    pub fingerprint: table::Fingerprint,
-    /// The changes that lead to it; `None` if the requester has it in force.
+    /// What identifies it.
+    pub identity: KnownConfiguration,
+    /// The changes that lead to it; `None` unless the requester has an older version.
     pub changes: Option<changes::Changes>,
     /// What the reader found in the store with it; `None` if the requester has that mark.
     pub mark: Option<read_mark::ReadMark>,
--- a/crates/waxwing-vm/src/configuration_poll.rs
+++ b/crates/waxwing-vm/src/configuration_poll.rs
@@ -22,6 +22,7 @@
 
 use crate::reconcile;
 use crate::store_poll;
+use crate::store_replica;
 use crate::vm;
 
 /// The number of reads without a confirmation after which they become rarer and a line tells why; the
@@ -221,16 +222,16 @@
             put_in_force(vm, &mut active, table);
             has_changed = true;
         }
-        let version = active.table.as_ref().map(|table| table.version());
-        let fingerprint = active.table.as_ref().map(|table| table.fingerprint());
-        if fingerprint == Some(peer.fingerprint) {
-            if !active.is_newer_than(Some(peer.version)) {
+        let current = active.table.as_deref().map(store_replica::identify);
+        let peer_version = peer.identity.version;
+        if current == Some(peer.identity) {
+            if !active.is_newer_than(Some(peer_version)) {
                 has_changed |= active.confirm(known_at, peer.evacuated, peer.mark);
                 record_newest_in_force(vm);
             }
-        } else if version <= Some(peer.version) {
+        } else if current.map(|current| current.version) <= Some(peer_version) {
             vm.newer_configuration.lock().see(clock::now());
-            active.newest_version = active.newest_version.max(Some(peer.version));
+            active.newest_version = active.newest_version.max(Some(peer_version));
             vm.needs_newer_table.store(true, atomic::Ordering::Release);
         }
     }
--- a/crates/waxwing-vm/src/region_reader.rs
+++ b/crates/waxwing-vm/src/region_reader.rs
@@ -14,6 +14,7 @@
 use crate::reconcile;
 use crate::replica_query;
 use crate::store_poll;
+use crate::store_replica;
 use crate::vm;
 
 /// How often the reader is asked within the time in which a change has to be known.
@@ -94,7 +95,7 @@
             reader_incarnation: self.incarnation,
             servers_version: self.servers.version(),
             members_version: self.members_version,
-            configuration: active.table.map(|table| table.fingerprint()),
+            configuration: active.table.map(|table| store_replica::identify(&table)),
             mark: active.mark.fingerprint(),
         }
     }
--- a/crates/waxwing-vm/src/store_replica.rs
+++ b/crates/waxwing-vm/src/store_replica.rs
@@ -97,15 +97,16 @@
     }
 
     /// Returns the changes from the configuration that a machine has to `table`, or the whole of it;
-    /// `None` if the machine has it.
-    fn table_changes(
+    /// `None` if the machine has that version or a newer one.
+    pub fn table_changes(
         &self,
-        known: Option<table::Fingerprint>,
+        known: Option<replication::KnownConfiguration>,
         table: &table::Table,
     ) -> Option<changes::Changes> {
-        if known == Some(table.fingerprint()) {
+        if known.is_some_and(|known| known.version >= table.version()) {
             return None;
         }
+        let known = known.map(|known| known.fingerprint);
         let state = self.state.lock();
         let base = state.tables.iter().find(|base| known == Some(base.fingerprint())).cloned();
         drop(state);
@@ -130,6 +131,11 @@
     }
 }
 
+/// Returns what identifies a table to other machines.
+pub fn identify(table: &table::Table) -> replication::KnownConfiguration {
+    replication::KnownConfiguration { version: table.version(), fingerprint: table.fingerprint() }
+}
+
 /// Returns an upper bound on the time from `then` to `now`, with clock drift allowed for.
 fn age_ms(now: units_time::MonoInstant, then: units_time::MonoInstant) -> units_time::Millis {
     let age = units_time::extend_by_clock_drift(now.since(then)).as_millis();
@@ -149,8 +155,7 @@
     let active = vm.active_configuration();
     let configuration =
         active.table.zip(active.confirmed_at).map(|(table, at)| replication::Configuration {
-            version: table.version(),
-            fingerprint: table.fingerprint(),
+            identity: identify(&table),
             changes: vm.store_replica.table_changes(known_table, &table),
             mark: (active.mark.fingerprint() != known_mark)
                 .then(|| read_mark::ReadMark::clone(&active.mark)),
