--- /dev/null
+++ b/review/stand-ins-2/upstream.rs
@@ -0,0 +1,181 @@
+//! A stand-in of an upstream: one process of a service, which registers itself in the store, runs
+//! requests one at a time for each connection, and keeps a list of what reached it.
+
+use std::io::{BufReader, Write};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use crate::http;
+use crate::record::Record;
+use crate::store::Store;
+
+/// How often an upstream writes its registration.
+const PING_INTERVAL: Duration = Duration::from_millis(1_500);
+
+/// A request that reached an upstream and was run.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    pub at: Instant,
+}
+
+/// What an upstream is started with.
+#[derive(Debug, Clone)]
+pub struct Options {
+    pub id: String,
+    pub service: String,
+    pub zone: String,
+    pub address: Option<SocketAddr>,
+    /// How long it stays cold after its start.
+    pub cold: Duration,
+    /// How long a request takes.
+    pub work: Duration,
+    /// By how much the clock of its machine is ahead.
+    pub clock_ahead_ms: i64,
+}
+
+#[derive(Clone)]
+pub struct Upstream {
+    pub options: Options,
+    pub address: SocketAddr,
+    pub arrivals: Arc<Mutex<Vec<Arrival>>>,
+    born_ms: i64,
+    started_at: Instant,
+    sequence: Arc<AtomicU32>,
+    is_leaving: Arc<AtomicBool>,
+    has_ended: Arc<AtomicBool>,
+    connections: Arc<Mutex<Vec<TcpStream>>>,
+    store: Store,
+    record: Record,
+}
+
+fn true_time_ms() -> i64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |span| span.as_millis() as i64)
+}
+
+impl Upstream {
+    pub fn start(options: Options, store: &Store, record: &Record) -> std::io::Result<Self> {
+        let wanted = options.address.unwrap_or_else(|| (Ipv4Addr::LOCALHOST, 0).into());
+        let listener = TcpListener::bind(wanted)?;
+        listener.set_nonblocking(true)?;
+        let upstream = Self {
+            address: listener.local_addr()?,
+            arrivals: Arc::default(),
+            born_ms: true_time_ms() + options.clock_ahead_ms,
+            started_at: Instant::now(),
+            sequence: Arc::default(),
+            is_leaving: Arc::default(),
+            has_ended: Arc::default(),
+            connections: Arc::default(),
+            store: store.clone(),
+            record: record.clone(),
+            options,
+        };
+        record.say(&format!(
+            "upstream {} starts at {}, born {}, cold for {:.1} s",
+            upstream.options.id,
+            upstream.address,
+            upstream.born_ms,
+            upstream.options.cold.as_secs_f64()
+        ));
+        let accepting = upstream.clone();
+        thread::spawn(move || accepting.accept(&listener));
+        let pinging = upstream.clone();
+        thread::spawn(move || {
+            while !pinging.has_ended.load(Ordering::Acquire) {
+                pinging.ping();
+                thread::sleep(PING_INTERVAL);
+            }
+        });
+        Ok(upstream)
+    }
+
+    fn ping(&self) {
+        let cold = self.options.cold.saturating_sub(self.started_at.elapsed());
+        let state = if self.is_leaving.load(Ordering::Acquire) { "draining" } else { "ready" };
+        let sequence = self.sequence.fetch_add(1, Ordering::AcqRel) + 1;
+        let value = format!(
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":3,\
+             \"state\":\"{state}\",\"coldRemainingS\":{:.3},\"sequence\":{sequence},\"born\":{}}}",
+            self.options.service,
+            self.address,
+            self.options.zone,
+            cold.as_secs_f64(),
+            self.born_ms
+        );
+        if !self.has_ended.load(Ordering::Acquire) {
+            self.store.put(&format!("servers/{}", self.options.id), &value);
+        }
+    }
+
+    /// Reports that it leaves, and goes on serving; returns when the store has accepted the report.
+    pub fn leave(&self) -> Instant {
+        self.is_leaving.store(true, Ordering::Release);
+        self.ping();
+        self.record.say(&format!("upstream {} reports draining", self.options.id));
+        Instant::now()
+    }
+
+    /// Ends as in a crash: all connections are closed, and nothing is said to the store.
+    pub fn crash(&self) {
+        self.record.say(&format!("upstream {} crashes", self.options.id));
+        self.has_ended.store(true, Ordering::Release);
+        for connection in self.connections.lock().unwrap().drain(..) {
+            connection.shutdown(Shutdown::Both).ok();
+        }
+    }
+
+    fn accept(&self, listener: &TcpListener) {
+        while !self.has_ended.load(Ordering::Acquire) {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(false).ok();
+                    stream.set_nodelay(true).ok();
+                    if let Ok(copy) = stream.try_clone() {
+                        self.connections.lock().unwrap().push(copy);
+                    }
+                    let serving = self.clone();
+                    thread::spawn(move || serving.serve(stream));
+                }
+                Err(_) => thread::sleep(Duration::from_millis(1)),
+            }
+        }
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let Ok(reading) = stream.try_clone() else {
+            return;
+        };
+        let mut reader = BufReader::new(reading);
+        let mut writer = stream;
+        while let Ok(Some(request)) = http::read(&mut reader) {
+            if self.has_ended.load(Ordering::Acquire) {
+                return;
+            }
+            let bytes = self.answer(&request);
+            if self.has_ended.load(Ordering::Acquire) || writer.write_all(&bytes).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, request: &http::Message) -> Vec<u8> {
+        let id = request.header("x-request-id").unwrap_or("").to_owned();
+        let mut headers = vec![("X-Request-Id", id.clone())];
+        if self.is_leaving.load(Ordering::Acquire) {
+            headers.push(("Server-Leaving", "1".to_owned()));
+        }
+        let target = request.header("x-target-instance");
+        if target.is_some_and(|target| target != self.options.id) {
+            headers.push(("X-Instance-Id", self.options.id.clone()));
+            return http::response(421, "Misdirected Request", &headers, b"");
+        }
+        self.arrivals.lock().unwrap().push(Arrival { at: Instant::now() });
+        self.record.write(&format!("upstream {} runs request {id}", self.options.id));
+        thread::sleep(self.options.work);
+        headers.push(("X-Server-Seal", format!("{}.{id}", self.options.id)));
+        http::response(200, "OK", &headers, format!("ran {id}\n").as_bytes())
+    }
+}
