--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -6,6 +6,7 @@
 mod json;
 mod manifest;
 mod record;
+mod restored_store;
 mod restarted_upstream;
 mod store;
 mod upstream;
@@ -66,6 +67,7 @@
         has_trouble: env::var("TROUBLE").as_deref() != Ok("0"),
     };
     let result = match case {
+        "restored-store" => restored_store::run(&bench),
         "restarted-upstream" => restarted_upstream::run(&bench),
         _ => Err(format!("no case {case}").into()),
     };
--- a/review/stand-ins-2/restarted_upstream.rs
+++ b/review/stand-ins-2/restarted_upstream.rs
@@ -20,6 +20,7 @@
         id: format!("i-{number:08x}"),
         service: "ledger".to_owned(),
         zone: vm::PLACES[number % vm::PLACES.len()].0.to_owned(),
+        slots: 3,
         address: None,
         cold: Duration::ZERO,
         work: Duration::from_millis(50),
--- a/review/stand-ins-2/store.rs
+++ b/review/stand-ins-2/store.rs
@@ -21,15 +21,24 @@
     lease: u64,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 struct State {
     items: BTreeMap<String, Item>,
     revision: u64,
     last_lease: u64,
     /// The leases with their durations and ends.
     leases: HashMap<u64, (Duration, Instant)>,
+    /// How often the store came back from a copy, and one more.
+    era: u64,
+    /// Whether the store answers no call.
+    is_away: bool,
+    /// The lease renewals that were answered.
+    renewals: Vec<(u64, Instant)>,
 }
 
+/// A copy of the store, from which it can come back.
+pub struct StoreCopy(State);
+
 #[derive(Clone)]
 pub struct Store {
     pub address: SocketAddr,
@@ -39,7 +48,7 @@
 impl Store {
     pub fn start() -> std::io::Result<Self> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
-        let state = Arc::new(Mutex::new(State { revision: 100, ..State::default() }));
+        let state = Arc::new(Mutex::new(State { revision: 100, era: 1, ..State::default() }));
         let store = Self { address: listener.local_addr()?, state };
         let serving = store.clone();
         thread::spawn(move || {
@@ -57,6 +66,33 @@
         state.put(key, json::base64(value.as_bytes()), 0);
     }
 
+    /// Takes a copy of all keys and leases.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.state.lock().unwrap().clone())
+    }
+
+    /// Answers no call from now on.
+    pub fn go_away(&self) {
+        self.state.lock().unwrap().is_away = true;
+    }
+
+    /// Comes back from a copy: keys, revisions and leases are those of the copy.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut state = self.state.lock().unwrap();
+        let era = state.era + 1;
+        *state = State { era, ..copy.0.clone() };
+    }
+
+    /// Returns whether `count` different leases were renewed within the last `span`.
+    pub fn were_renewed(&self, count: usize, span: Duration) -> bool {
+        let state = self.state.lock().unwrap();
+        let recent = state.renewals.iter().filter(|(_, at)| at.elapsed() < span);
+        let mut leases: Vec<u64> = recent.map(|(lease, _)| *lease).collect();
+        leases.sort_unstable();
+        leases.dedup();
+        leases.len() >= count
+    }
+
     fn serve(&self, stream: TcpStream) {
         stream.set_nodelay(true).ok();
         let Ok(reading) = stream.try_clone() else {
@@ -66,10 +102,12 @@
         let mut writer = stream;
         while let Ok(Some(request)) = http::read(&mut reader) {
             thread::sleep(ANSWER_TIME);
-            let (status, body) = self.answer(&request);
+            let Some((status, body, era)) = self.answer(&request) else {
+                return;
+            };
             let headers = [
                 ("Content-Type", "application/json".to_owned()),
-                ("Store-Era", "1".to_owned()),
+                ("Store-Era", era.to_string()),
             ];
             let bytes = http::response(status, "Answer", &headers, body.as_bytes());
             if writer.write_all(&bytes).is_err() {
@@ -78,7 +116,8 @@
         }
     }
 
-    fn answer(&self, request: &http::Message) -> (u16, String) {
+    /// Returns status, body and era of an answer; `None` while the store is away.
+    fn answer(&self, request: &http::Message) -> Option<(u16, String, u64)> {
         let (path, query) = request.path().split_once('?').unwrap_or((request.path(), ""));
         let query: HashMap<String, String> = query
             .split('&')
@@ -88,8 +127,11 @@
         let parameter = |name: &str| query.get(name).cloned().unwrap_or_default();
         let body = Json::parse(&String::from_utf8_lossy(&request.body)).unwrap_or(Json::Null);
         let mut state = self.state.lock().unwrap();
+        if state.is_away {
+            return None;
+        }
         state.end_leases();
-        match (request.method(), path) {
+        let (status, body) = match (request.method(), path) {
             ("GET", "/kv-key") => match state.items.get(&parameter("key")) {
                 Some(item) => (200, item.json(&parameter("key"), Some(state.revision))),
                 None => (404, format!("{{\"currentRev\":{}}}", state.revision)),
@@ -108,7 +150,9 @@
                 match state.leases.get_mut(&lease) {
                     Some((ttl, until)) => {
                         *until = Instant::now() + *ttl;
-                        (200, format!("{{\"ttlS_time\":{}}}", ttl.as_secs_f64()))
+                        let ttl_s = ttl.as_secs_f64();
+                        state.renewals.push((lease, Instant::now()));
+                        (200, format!("{{\"ttlS_time\":{ttl_s}}}"))
                     }
                     None => (404, "{}".to_owned()),
                 }
@@ -119,7 +163,8 @@
                 (200, "{}".to_owned())
             }
             _ => (404, "{}".to_owned()),
-        }
+        };
+        Some((status, body, state.era))
     }
 }
 
--- a/review/stand-ins-2/upstream.rs
+++ b/review/stand-ins-2/upstream.rs
@@ -18,6 +18,7 @@
 /// A request that reached an upstream and was run.
 #[derive(Debug, Clone)]
 pub struct Arrival {
+    pub request_id: String,
     pub at: Instant,
 }
 
@@ -27,6 +28,7 @@
     pub id: String,
     pub service: String,
     pub zone: String,
+    pub slots: u32,
     pub address: Option<SocketAddr>,
     /// How long it stays cold after its start.
     pub cold: Duration,
@@ -97,11 +99,12 @@
         let state = if self.is_leaving.load(Ordering::Acquire) { "draining" } else { "ready" };
         let sequence = self.sequence.fetch_add(1, Ordering::AcqRel) + 1;
         let value = format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":3,\
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\
              \"state\":\"{state}\",\"coldRemainingS\":{:.3},\"sequence\":{sequence},\"born\":{}}}",
             self.options.service,
             self.address,
             self.options.zone,
+            self.options.slots,
             cold.as_secs_f64(),
             self.born_ms
         );
@@ -172,7 +175,7 @@
             headers.push(("X-Instance-Id", self.options.id.clone()));
             return http::response(421, "Misdirected Request", &headers, b"");
         }
-        self.arrivals.lock().unwrap().push(Arrival { at: Instant::now() });
+        self.arrivals.lock().unwrap().push(Arrival { request_id: id.clone(), at: Instant::now() });
         self.record.write(&format!("upstream {} runs request {id}", self.options.id));
         thread::sleep(self.options.work);
         headers.push(("X-Server-Seal", format!("{}.{id}", self.options.id)));
--- a/review/stand-ins-2/vm.rs
+++ b/review/stand-ins-2/vm.rs
@@ -4,6 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 /// The failure domains of the deployment with their regions.
@@ -20,12 +21,20 @@
     child: Option<Child>,
 }
 
+/// The last port that was found.
+static LAST_PORT: AtomicU16 = AtomicU16::new(0);
+
+/// The ports among which free ones are looked for; below those that the system gives to clients.
+const PORT_MIN: u16 = 18_000;
+const PORTS: u16 = 12_000;
+
 /// Finds a port that is free for TCP and UDP.
 fn free_port() -> std::io::Result<u16> {
+    let first = (std::process::id() % 97) as u16 * 120;
     loop {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
-        let port = listener.local_addr()?.port();
-        if UdpSocket::bind((Ipv4Addr::LOCALHOST, port)).is_ok() {
+        let port = PORT_MIN + (first + LAST_PORT.fetch_add(1, Ordering::AcqRel)) % PORTS;
+        let address = (Ipv4Addr::LOCALHOST, port);
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return Ok(port);
         }
     }
