--- a/review/stand-ins-2/client.rs
+++ b/review/stand-ins-2/client.rs
@@ -18,6 +18,8 @@
     pub method: &'static str,
     pub path: String,
     pub key: Option<&'static str>,
+    /// The length of the value of a further header; none if it is zero.
+    pub cookie_bytes: usize,
     pub time_limit: Duration,
     pub body: Vec<u8>,
 }
@@ -26,7 +28,7 @@
     pub fn new(method: &'static str, path: &str) -> Self {
         let id = format!("{:016x}", LAST_ID.fetch_add(1, Ordering::AcqRel) + 1);
         let time_limit = Duration::from_secs(3);
-        Self { id, method, path: path.to_owned(), key: None, time_limit, body: Vec::new() }
+        Self { id, method, path: path.to_owned(), key: None, cookie_bytes: 0, time_limit, body: Vec::new() }
     }
 
     pub fn bytes(&self) -> Vec<u8> {
@@ -40,6 +42,9 @@
         if let Some(key) = self.key {
             head.push_str(&format!("Api-Key: {key}\r\n"));
         }
+        if self.cookie_bytes > 0 {
+            head.push_str(&format!("Cookie: {}\r\n", "c".repeat(self.cookie_bytes)));
+        }
         if self.method != "GET" {
             head.push_str(&format!("Content-Length: {}\r\n", self.body.len()));
         }
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -2,6 +2,7 @@
 //! without the disruption. Exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
 
 mod client;
+mod gone_clients;
 mod http;
 mod json;
 mod manifest;
@@ -67,6 +68,7 @@
         has_trouble: env::var("TROUBLE").as_deref() != Ok("0"),
     };
     let result = match case {
+        "gone-clients" => gone_clients::run(&bench),
         "restored-store" => restored_store::run(&bench),
         "restarted-upstream" => restarted_upstream::run(&bench),
         _ => Err(format!("no case {case}").into()),
--- a/review/stand-ins-2/upstream.rs
+++ b/review/stand-ins-2/upstream.rs
@@ -1,7 +1,7 @@
 //! A stand-in of an upstream: one process of a service, which registers itself in the store, runs
 //! requests one at a time for each connection, and keeps a list of what reached it.
 
-use std::io::{BufReader, Write};
+use std::io::{BufReader, ErrorKind, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
@@ -20,6 +20,8 @@
 pub struct Arrival {
     pub request_id: String,
     pub at: Instant,
+    /// When its run ended, or was dropped since its connection was closed.
+    pub ended_at: Option<Instant>,
 }
 
 /// What an upstream is started with.
@@ -157,14 +159,17 @@
             if self.has_ended.load(Ordering::Acquire) {
                 return;
             }
-            let bytes = self.answer(&request);
+            let Some(bytes) = self.answer(&request, &writer) else {
+                return;
+            };
             if self.has_ended.load(Ordering::Acquire) || writer.write_all(&bytes).is_err() {
                 return;
             }
         }
     }
 
-    fn answer(&self, request: &http::Message) -> Vec<u8> {
+    /// Returns the answer to a request; `None` if its connection is closed meanwhile.
+    fn answer(&self, request: &http::Message, connection: &TcpStream) -> Option<Vec<u8>> {
         let id = request.header("x-request-id").unwrap_or("").to_owned();
         let mut headers = vec![("X-Request-Id", id.clone())];
         if self.is_leaving.load(Ordering::Acquire) {
@@ -173,12 +178,41 @@
         let target = request.header("x-target-instance");
         if target.is_some_and(|target| target != self.options.id) {
             headers.push(("X-Instance-Id", self.options.id.clone()));
-            return http::response(421, "Misdirected Request", &headers, b"");
+            return Some(http::response(421, "Misdirected Request", &headers, b""));
         }
-        self.arrivals.lock().unwrap().push(Arrival { request_id: id.clone(), at: Instant::now() });
+        let at = Instant::now();
+        let number = {
+            let mut arrivals = self.arrivals.lock().unwrap();
+            arrivals.push(Arrival { request_id: id.clone(), at, ended_at: None });
+            arrivals.len() - 1
+        };
         self.record.write(&format!("upstream {} runs request {id}", self.options.id));
-        thread::sleep(self.options.work);
+        let is_wanted = stays_open(connection, at + self.options.work);
+        self.arrivals.lock().unwrap()[number].ended_at = Some(Instant::now());
+        if !is_wanted {
+            self.record.write(&format!("upstream {} drops request {id}", self.options.id));
+            return None;
+        }
         headers.push(("X-Server-Seal", format!("{}.{id}", self.options.id)));
-        http::response(200, "OK", &headers, format!("ran {id}\n").as_bytes())
+        Some(http::response(200, "OK", &headers, format!("ran {id}\n").as_bytes()))
+    }
+}
+
+/// Waits until `until`; returns false at once when the connection is closed.
+fn stays_open(connection: &TcpStream, until: Instant) -> bool {
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            connection.set_read_timeout(None).ok();
+            return true;
+        }
+        connection.set_read_timeout(Some(left)).ok();
+        match connection.peek(&mut [0]) {
+            Ok(0) => return false,
+            Ok(_) => thread::sleep(left.min(Duration::from_millis(5))),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => (),
+            Err(error) if error.kind() == ErrorKind::TimedOut => (),
+            Err(_) => return false,
+        }
     }
 }
