--- a/review/stand-ins-2/gone_clients.rs
+++ b/review/stand-ins-2/gone_clients.rs
@@ -12,7 +12,10 @@
 const PIPELINED: usize = 24;
 const COOKIE_BYTES: usize = 4_000;
 
-const CLIENTS_PER_VM: usize = 3;
+const CLIENTS_PER_VM: usize = 4;
+
+/// One client in this many leaves early.
+const LEAVING_DIVISOR: usize = 4;
 
 /// How long an upstream works on a request.
 const WORK: Duration = Duration::from_millis(1_200);
@@ -60,12 +63,14 @@
         return Err("a VM is not ready".into());
     }
     thread::sleep(Duration::from_secs(4));
-    let patience = bench.has_trouble.then_some(PATIENCE);
+    let leaves = |number: usize| bench.has_trouble && number.is_multiple_of(LEAVING_DIVISOR);
     let clients: Vec<_> = vms
         .iter()
         .flat_map(|vm| [vm.entry; CLIENTS_PER_VM])
-        .map(|entry| {
+        .enumerate()
+        .map(|(number, entry)| {
             let record = record.clone();
+            let patience = leaves(number).then_some(PATIENCE);
             thread::spawn(move || pipeline(entry, patience, &record))
         })
         .collect();
