--- a/review/stand-ins-2/client.rs
+++ b/review/stand-ins-2/client.rs
@@ -28,7 +28,15 @@
     pub fn new(method: &'static str, path: &str) -> Self {
         let id = format!("{:016x}", LAST_ID.fetch_add(1, Ordering::AcqRel) + 1);
         let time_limit = Duration::from_secs(3);
-        Self { id, method, path: path.to_owned(), key: None, cookie_bytes: 0, time_limit, body: Vec::new() }
+        Self {
+            id,
+            method,
+            path: path.to_owned(),
+            key: None,
+            cookie_bytes: 0,
+            time_limit,
+            body: Vec::new(),
+        }
     }
 
     pub fn bytes(&self) -> Vec<u8> {
--- a/review/stand-ins-2/gone_clients.rs
+++ b/review/stand-ins-2/gone_clients.rs
@@ -92,8 +92,10 @@
     let mut request_ids = Vec::new();
     let mut bytes = Vec::new();
     for _ in 0..PIPELINED {
-        let request =
-            client::Request { cookie_bytes: COOKIE_BYTES, ..client::Request::new("GET", "/lookup/2f") };
+        let request = client::Request {
+            cookie_bytes: COOKIE_BYTES,
+            ..client::Request::new("GET", "/lookup/2f")
+        };
         record.write(&format!("request {} is sent", request.id));
         bytes.extend(request.bytes());
         request_ids.push(request.id);
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -2,13 +2,14 @@
 //! without the disruption. Exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
 
 mod client;
+mod evacuated_zone;
 mod gone_clients;
 mod http;
 mod json;
 mod manifest;
 mod record;
-mod restored_store;
 mod restarted_upstream;
+mod restored_store;
 mod store;
 mod upstream;
 mod vm;
@@ -68,6 +69,7 @@
         has_trouble: env::var("TROUBLE").as_deref() != Ok("0"),
     };
     let result = match case {
+        "evacuated-zone" => evacuated_zone::run(&bench),
         "gone-clients" => gone_clients::run(&bench),
         "restored-store" => restored_store::run(&bench),
         "restarted-upstream" => restarted_upstream::run(&bench),
--- a/review/stand-ins-2/restarted_upstream.rs
+++ b/review/stand-ins-2/restarted_upstream.rs
@@ -69,7 +69,10 @@
     let second = upstream::Upstream::start(again, &store, record)?;
     thread::sleep(Duration::from_secs(8));
     send_to_all(4);
-    record.say(&format!("{} requests reached it before it leaves", second.arrivals.lock().unwrap().len()));
+    record.say(&format!(
+        "{} requests reached it before it leaves",
+        second.arrivals.lock().unwrap().len()
+    ));
     let left_at = second.leave();
     thread::sleep(DRAIN_MAX + Duration::from_millis(500));
     let bound_at = left_at + DRAIN_MAX;
--- a/review/stand-ins-2/restored_store.rs
+++ b/review/stand-ins-2/restored_store.rs
@@ -106,7 +106,9 @@
     let window_s = QUOTA_WINDOW.as_secs_f64();
     let allowed = f64::from(RATE_PER_S) * window_s + f64::from(BURST);
     let bound = allowed * (1.0 + QUOTA_OVERSHOOT) + QUOTA_SLACK;
-    record.say(&format!("at most {most} requests of the tenant in {window_s} s; the bound is {bound:.1}"));
+    record.say(&format!(
+        "at most {most} requests of the tenant in {window_s} s; the bound is {bound:.1}"
+    ));
     Ok(if most as f64 > bound { Verdict::Broken } else { Verdict::Held })
 }
 
--- a/review/stand-ins-2/store.rs
+++ b/review/stand-ins-2/store.rs
@@ -66,6 +66,11 @@
         state.put(key, json::base64(value.as_bytes()), 0);
     }
 
+    /// Removes a key for the operator.
+    pub fn remove(&self, key: &str) {
+        self.state.lock().unwrap().remove(key);
+    }
+
     /// Takes a copy of all keys and leases.
     pub fn copy(&self) -> StoreCopy {
         StoreCopy(self.state.lock().unwrap().clone())
@@ -105,10 +110,8 @@
             let Some((status, body, era)) = self.answer(&request) else {
                 return;
             };
-            let headers = [
-                ("Content-Type", "application/json".to_owned()),
-                ("Store-Era", era.to_string()),
-            ];
+            let headers =
+                [("Content-Type", "application/json".to_owned()), ("Store-Era", era.to_string())];
             let bytes = http::response(status, "Answer", &headers, body.as_bytes());
             if writer.write_all(&bytes).is_err() {
                 return;
@@ -136,7 +139,9 @@
                 Some(item) => (200, item.json(&parameter("key"), Some(state.revision))),
                 None => (404, format!("{{\"currentRev\":{}}}", state.revision)),
             },
-            ("GET", "/kv-range") => (200, state.range(&parameter("pathPrefix"), &parameter("after"))),
+            ("GET", "/kv-range") => {
+                (200, state.range(&parameter("pathPrefix"), &parameter("after")))
+            }
             ("POST", "/kv-txn") => state.transact(&body),
             ("POST", "/kv-lease") => {
                 let ttl = Duration::from_secs_f64(body.get("ttlS_time").number().max(1.0));
--- a/review/stand-ins-2/upstream.rs
+++ b/review/stand-ins-2/upstream.rs
@@ -46,7 +46,7 @@
     pub address: SocketAddr,
     pub arrivals: Arc<Mutex<Vec<Arrival>>>,
     born_ms: i64,
-    started_at: Instant,
+    cold_until: Arc<Mutex<Instant>>,
     sequence: Arc<AtomicU32>,
     is_leaving: Arc<AtomicBool>,
     has_ended: Arc<AtomicBool>,
@@ -68,7 +68,7 @@
             address: listener.local_addr()?,
             arrivals: Arc::default(),
             born_ms: true_time_ms() + options.clock_ahead_ms,
-            started_at: Instant::now(),
+            cold_until: Arc::new(Mutex::new(Instant::now() + options.cold)),
             sequence: Arc::default(),
             is_leaving: Arc::default(),
             has_ended: Arc::default(),
@@ -97,7 +97,7 @@
     }
 
     fn ping(&self) {
-        let cold = self.options.cold.saturating_sub(self.started_at.elapsed());
+        let cold = self.cold_left();
         let state = if self.is_leaving.load(Ordering::Acquire) { "draining" } else { "ready" };
         let sequence = self.sequence.fetch_add(1, Ordering::AcqRel) + 1;
         let value = format!(
@@ -115,6 +115,18 @@
         }
     }
 
+    /// Returns how long it stays cold.
+    fn cold_left(&self) -> Duration {
+        self.cold_until.lock().unwrap().saturating_duration_since(Instant::now())
+    }
+
+    /// Becomes cold again; the registration tells it with the next ping, the health response at once.
+    pub fn become_cold(&self, span: Duration) {
+        *self.cold_until.lock().unwrap() = Instant::now() + span;
+        let (id, span_s) = (&self.options.id, span.as_secs_f64());
+        self.record.say(&format!("upstream {id} is cold for {span_s:.1} s"));
+    }
+
     /// Reports that it leaves, and goes on serving; returns when the store has accepted the report.
     pub fn leave(&self) -> Instant {
         self.is_leaving.store(true, Ordering::Release);
@@ -170,6 +182,12 @@
 
     /// Returns the answer to a request; `None` if its connection is closed meanwhile.
     fn answer(&self, request: &http::Message, connection: &TcpStream) -> Option<Vec<u8>> {
+        if request.path() == "/health" {
+            let cold_s = format!("{:.3}", self.cold_left().as_secs_f64());
+            let instance = self.options.id.clone();
+            let headers = [("X-Instance-Id", instance), ("X-Cold-Remaining", cold_s)];
+            return Some(http::response(200, "OK", &headers, b""));
+        }
         let id = request.header("x-request-id").unwrap_or("").to_owned();
         let mut headers = vec![("X-Request-Id", id.clone())];
         if self.is_leaving.load(Ordering::Acquire) {
--- a/review/stand-ins-2/vm.rs
+++ b/review/stand-ins-2/vm.rs
@@ -42,7 +42,12 @@
 
 impl Vm {
     /// Writes the settings of a VM; starts nothing.
-    pub fn new(number: usize, program: &Path, folder: &Path, store: SocketAddr) -> std::io::Result<Self> {
+    pub fn new(
+        number: usize,
+        program: &Path,
+        folder: &Path,
+        store: SocketAddr,
+    ) -> std::io::Result<Self> {
         let (zone, _) = PLACES[number % PLACES.len()];
         let name = format!("edge-{zone}-{}", number / PLACES.len() + 1);
         let address = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
@@ -89,6 +94,12 @@
         }
     }
 
+    /// Sends SIGTERM.
+    pub fn stop(&self) {
+        let pid = self.child.as_ref().map_or(0, Child::id).to_string();
+        Command::new("kill").args(["-TERM", &pid]).status().ok();
+    }
+
     /// Waits for the end of a process that was killed.
     pub fn reap(&mut self) {
         if let Some(mut child) = self.child.take() {
