--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Lets clients with many pipelined requests leave early. Exits with 1 if the rule was broken, 0 if it
-# held, 2 if the case couldn't run.
+# Restarts an entry VM while a zone is evacuated. Exits with 1 if the rule was broken, 0 if it held,
+# 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/waxwing-vm ] && [ -x target/review-2/drill ] || exit 2
-exec target/review-2/drill gone-clients target/release/waxwing-vm review/9/record.txt
+exec target/review-2/drill evacuated-zone target/release/waxwing-vm review/9/record.txt
